--- /dev/null
+++ b/packages/daemon/src/caller_api/caller_routes.ts
@@ -0,0 +1,329 @@
+import {randomUUID} from 'node:crypto';
+import type {
+  JobId,
+  JobSpec,
+  JobView,
+  Outcome,
+  RequestId,
+  ServiceId,
+  Work,
+} from '@papayarun/protocol';
+import {
+  DispatchError,
+  formatRequestKeyPrefix,
+  parseRequestKey,
+} from '@papayarun/protocol';
+import {resolveBehaviours} from '@papayarun/releases';
+import {z} from 'zod';
+import type {HttpRequest} from '../http/http_request.js';
+import type {HttpResponse} from '../http/http_response.js';
+import type {HttpRoute} from '../http/http_route.js';
+import {parseJson} from '../http/parse_json.js';
+import {refusalResponse} from '../http/refusal_response.js';
+import {announcementSchema} from './announcement_schema.js';
+import type {CallerApiOptions} from './caller_api_options.js';
+import {jobSpecSchema} from './job_spec_schema.js';
+import {parseWorkHeaders} from './parse_work_headers.js';
+
+const SERVICE_PATTERN = /^[a-z][a-z0-9-]{0,31}$/;
+const CUSTOMER_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/;
+const MAX_WAIT_MS = 600_000;
+
+const preferencesSchema = z.strictObject({
+  choices: z.record(z.string(), z.json()),
+});
+
+/**
+ * Routes of the callers', targets' and workers' interface.
+ *
+ * @param opts - What it asks of the instance.
+ * @returns The routes.
+ * @throws Never.
+ * @example
+ * const app = await HttpApp.create({routes: callerRoutes(opts), ...rest}, listen);
+ */
+export function callerRoutes(opts: CallerApiOptions): HttpRoute[] {
+  return [
+    {
+      method: 'GET',
+      path: '/health/live',
+      handle: () => Promise.resolve(ok({live: true})),
+    },
+    {
+      method: 'GET',
+      path: '/health/ready',
+      handle: () => Promise.resolve(readiness(opts)),
+    },
+    {
+      method: 'GET',
+      path: '/v1/id-prefix',
+      handle: () => Promise.resolve(idPrefix(opts)),
+    },
+    {
+      method: 'POST',
+      path: '/v1/services/:service/*',
+      handle: req => runRequest(opts, req),
+    },
+    {method: 'POST', path: '/v1/jobs', handle: req => submitJob(opts, req)},
+    {method: 'GET', path: '/v1/jobs/:id', handle: req => showJob(opts, req)},
+    {
+      method: 'DELETE',
+      path: '/v1/jobs/:id',
+      handle: req => cancelJob(opts, req),
+    },
+    {
+      method: 'POST',
+      path: '/v1/targets',
+      handle: req => Promise.resolve(announce(opts, req)),
+    },
+    {
+      method: 'GET',
+      path: '/v1/customers/:customer/behaviours',
+      handle: req => Promise.resolve(behaviours(opts, req)),
+    },
+    {
+      method: 'PUT',
+      path: '/v1/customers/:customer/behaviours',
+      handle: req => choose(opts, req),
+    },
+  ];
+}
+
+function readiness(opts: CallerApiOptions): HttpResponse {
+  const ready = opts.isInBalance();
+  return {status: ready ? 200 : 503, body: {json: {ready}}};
+}
+
+function idPrefix(opts: CallerApiOptions): HttpResponse {
+  assertReady(opts);
+  const generation = opts.generation();
+  if (generation === 0) {
+    throw DispatchError.notRun('notReady', 'the claim view is not formed yet');
+  }
+  const prefix = formatRequestKeyPrefix(
+    opts.dataCentre,
+    generation,
+    opts.clock.wallNow(),
+  );
+  return ok({prefix, dataCentre: opts.dataCentre, generation});
+}
+
+async function runRequest(
+  opts: CallerApiOptions,
+  req: HttpRequest,
+): Promise<HttpResponse> {
+  assertReady(opts);
+  const work = workOf(opts, req);
+  const outcome = work.repeatable
+    ? await opts.runRepeatable(work, req.signal)
+    : await opts.runOnce(work);
+  return outcomeResponse(outcome);
+}
+
+function workOf(opts: CallerApiOptions, req: HttpRequest): Work {
+  const declared = parseWorkHeaders(req.raw.headers, opts.defaultDeadlineMs);
+  const service = req.params['service']!;
+  if (!SERVICE_PATTERN.test(service)) {
+    throw DispatchError.notRun(
+      'badRequest',
+      'the service must be a lower-case name',
+      {
+        field: 'service',
+      },
+    );
+  }
+  const {customer} = declared;
+  return {
+    requestId: (declared.id ?? randomUUID()) as RequestId,
+    service: service as ServiceId,
+    kind: opts.policy.declaredKind(declared.kind),
+    caller: declared.caller,
+    team: declared.team,
+    urgency: declared.urgency,
+    deadlineMs: declared.deadlineMs,
+    repeatable: declared.repeatable,
+    declaredRunMs: declared.declaredRunMs,
+    path: `/${req.params['rest']}`,
+    contentType: req.raw.headers['content-type'] ?? 'application/octet-stream',
+    body: req.body,
+    behaviours:
+      customer && JSON.stringify(resolveBehaviours(opts.state(), customer)),
+  };
+}
+
+function outcomeResponse(outcome: Outcome): HttpResponse {
+  switch (outcome.kind) {
+    case 'answered': {
+      const {status, contentType, body, release} = outcome.answer;
+      const headers = {
+        'content-type': contentType,
+        'papayarun-verdict': 'ran',
+        'papayarun-release': String(release),
+      };
+      return {status, headers, body};
+    }
+    case 'refused':
+      return refusalResponse(outcome.refusal);
+    default:
+      return outcome satisfies never;
+  }
+}
+
+async function submitJob(
+  opts: CallerApiOptions,
+  req: HttpRequest,
+): Promise<HttpResponse> {
+  assertReady(opts);
+  const schema = jobSpecSchema(opts.maxJobTasks, opts.defaultDeadlineMs);
+  const spec = parseJson(req.body, schema as never) as JobSpec;
+  parseRequestKey(spec.id, '$.id');
+  const kind = opts.policy.declaredKind(spec.kind);
+  const waitMs = waitOf(req) ?? 0;
+  return jobResponse(
+    await opts.job({kind: 'submit', spec: {...spec, kind}, waitMs}),
+  );
+}
+
+async function showJob(
+  opts: CallerApiOptions,
+  req: HttpRequest,
+): Promise<HttpResponse> {
+  const id = jobIdOf(req);
+  return jobResponse(
+    await opts.job({kind: 'show', id, waitMs: waitOf(req) ?? 0}),
+  );
+}
+
+async function cancelJob(
+  opts: CallerApiOptions,
+  req: HttpRequest,
+): Promise<HttpResponse> {
+  return jobResponse(await opts.job({kind: 'cancel', id: jobIdOf(req)}));
+}
+
+function jobResponse(job: JobView): HttpResponse {
+  switch (job.state) {
+    case 'running':
+      return {
+        status: 202,
+        headers: {'papayarun-verdict': 'mayHaveRun'},
+        body: {json: job},
+      };
+    case 'complete':
+      return {
+        status: 200,
+        headers: {'papayarun-verdict': 'ran'},
+        body: {json: job},
+      };
+    case 'failed': {
+      const {status, headers} = refusalResponse(job.refusal);
+      return {
+        status,
+        headers,
+        body: {
+          json: {
+            ...job.refusal,
+            verdict: job.refusal.verdict.kind,
+            state: 'failed',
+            id: job.id,
+          },
+        },
+      };
+    }
+    default:
+      return job satisfies never;
+  }
+}
+
+function announce(opts: CallerApiOptions, req: HttpRequest): HttpResponse {
+  opts.announce(parseJson(req.body, announcementSchema));
+  return ok({intervalMs: opts.announceIntervalMs});
+}
+
+function behaviours(opts: CallerApiOptions, req: HttpRequest): HttpResponse {
+  assertReady(opts);
+  const state = opts.state();
+  return ok({
+    release: state.release,
+    behaviours: resolveBehaviours(state, customerOf(req)),
+  });
+}
+
+async function choose(
+  opts: CallerApiOptions,
+  req: HttpRequest,
+): Promise<HttpResponse> {
+  assertReady(opts);
+  const customer = customerOf(req);
+  const {choices} = parseJson(req.body, preferencesSchema);
+  const named = Object.entries(choices).map(([name, value]) => [
+    `behaviour:${name}`,
+    value,
+  ]);
+  const result = await opts.setPreferences(
+    customer,
+    Object.fromEntries(named) as Record<string, unknown>,
+  );
+  if (result.kind === 'preferences' && result.unknown.length > 0) {
+    const names = result.unknown.join(', ');
+    throw DispatchError.notRun(
+      'conflict',
+      `not in force: ${names}; the other choices were kept`,
+      {
+        field: '$.choices',
+      },
+    );
+  }
+  return ok({kept: true});
+}
+
+function customerOf(req: HttpRequest): string {
+  const customer = req.params['customer']!;
+  if (!CUSTOMER_PATTERN.test(customer)) {
+    throw DispatchError.notRun(
+      'badRequest',
+      'the customer must be a name of at most 64 characters',
+      {
+        field: 'customer',
+      },
+    );
+  }
+  return customer;
+}
+
+function jobIdOf(req: HttpRequest): JobId {
+  const id = req.params['id']!;
+  parseRequestKey(id, 'id');
+  return id as JobId;
+}
+
+function waitOf(req: HttpRequest): number | undefined {
+  const text = req.query.get('wait-ms');
+  if (text === null) {
+    return undefined;
+  }
+  const value = /^[0-9]{1,7}$/.test(text) ? Number(text) : NaN;
+  if (!(value <= MAX_WAIT_MS)) {
+    throw DispatchError.notRun(
+      'badRequest',
+      `wait-ms must be an integer from 0 to ${MAX_WAIT_MS}`,
+      {
+        field: 'wait-ms',
+      },
+    );
+  }
+  return value;
+}
+
+function assertReady(opts: CallerApiOptions): void {
+  if (!opts.isReady()) {
+    throw DispatchError.notRun(
+      'notReady',
+      'this instance has not read the release in force yet',
+    );
+  }
+}
+
+function ok(json: unknown): HttpResponse {
+  return {status: 200, body: {json}};
+}
--- /dev/null
+++ b/packages/daemon/src/instance/instance.ts
@@ -0,0 +1,696 @@
+import {randomUUID} from 'node:crypto';
+import {Claims, ClaimTable, Seat, ViewKeeper} from '@papayarun/claims';
+import {
+  JobRunner,
+  Keeper,
+  Router,
+  TargetClient,
+  TargetRegistry,
+} from '@papayarun/dispatch';
+import {Membership, WsPeerNetwork} from '@papayarun/membership';
+import type {
+  Announcement,
+  BootId,
+  DataCentreId,
+  Heartbeat,
+  InstanceId,
+  Outcome,
+  ReplicaId,
+  Work,
+} from '@papayarun/protocol';
+import {
+  DispatchError,
+  fingerprint,
+  parseRequestKey,
+  SeededRandom,
+  SystemClock,
+} from '@papayarun/protocol';
+import type {ClaimView} from '@papayarun/releases';
+import {ControlStore} from '@papayarun/releases';
+import {FolderDisk, Replica} from '@papayarun/replication';
+import type {Settings} from '@papayarun/settings';
+import {callerRoutes} from '../caller_api/caller_routes.js';
+import {ControlClient} from '../control_client/control_client.js';
+import {Currency} from '../currency/currency.js';
+import type {EventLogger} from '../event_logger/event_logger.js';
+import {formCluster} from '../form_cluster/form_cluster.js';
+import {bearerGuard} from '../http/bearer_guard.js';
+import {HttpApp} from '../http/http_app.js';
+import {JobService} from '../job_service/job_service.js';
+import {Metrics} from '../metrics/metrics.js';
+import {operatorRoutes} from '../operator_api/operator_routes.js';
+import {ReleasePolicy} from '../release_policy/release_policy.js';
+import type {InstanceKeys} from './instance_keys.js';
+
+const COMPACT_AFTER_ENTRIES = 512;
+const MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
+const CONNECT_TIMEOUT_MS = 1_000;
+const RETRY_RATIO = 0.1;
+const HEDGE_RATIO = 0.05;
+const CLAIM_TIMEOUT_MS = 5_000;
+const LEADER_TIMEOUT_MS = 5_000;
+const SWEEP_PERIOD_MS = 200;
+const READY_PERIOD_MS = 100;
+const DRAIN_POLL_MS = 20;
+const LEAVE_TIMEOUT_MS = 3_000;
+const ANNOUNCE_INTERVAL_MS = 1_000;
+
+/**
+ * One papayarund process: all components, put together.
+ */
+export class Instance {
+  private readonly clock = SystemClock.create();
+  private readonly random = SeededRandom.create(fromUuid());
+  private readonly metrics = Metrics.create();
+  private readonly store = ControlStore.create();
+  private readonly policy = ReleasePolicy.create(this.store);
+  private readonly stopping = new AbortController();
+  private state: Heartbeat['state'] = 'starting';
+  private network!: WsPeerNetwork;
+  private membership!: Membership;
+  private replica: Replica | undefined;
+  private disk: FolderDisk | undefined;
+  private control!: ControlClient;
+  private currency!: Currency;
+  private registry!: TargetRegistry;
+  private client!: TargetClient;
+  private keeper!: Keeper;
+  private router!: Router;
+  private table!: ClaimTable;
+  private seat!: Seat;
+  private claims!: Claims;
+  private viewKeeper!: ViewKeeper;
+  private jobs!: JobService;
+  private callers!: HttpApp;
+  private operators!: HttpApp;
+  private wasCutOff = false;
+  private ended: Promise<void> | undefined;
+
+  private constructor(
+    private readonly cfg: Settings,
+    private readonly keys: InstanceKeys,
+    private readonly log: EventLogger,
+    private readonly self: InstanceId,
+    private readonly dataCentre: DataCentreId,
+  ) {}
+
+  /**
+   * Starts an instance.
+   *
+   * @param cfg - Checked settings.
+   * @param keys - Keys read from the files that the settings name.
+   * @param log - Event log.
+   * @returns The instance, listening.
+   * @throws JournalCorruptError when its journal is damaged; Error when an
+   *   address can't be used.
+   * @example
+   * const instance = await Instance.create(cfg, keys, log);
+   */
+  static async create(
+    cfg: Settings,
+    keys: InstanceKeys,
+    log: EventLogger,
+  ): Promise<Instance> {
+    const self = cfg.instanceId as InstanceId;
+    const instance = new Instance(
+      cfg,
+      keys,
+      log,
+      self,
+      cfg.dataCentre as DataCentreId,
+    );
+    await instance.openNetwork();
+    instance.createMembership();
+    await instance.createReplica();
+    instance.createControl();
+    instance.createDispatch();
+    instance.createClaims();
+    await instance.listen();
+    instance.start();
+    return instance;
+  }
+
+  /** Resolves when a drain has ended and everything is closed. */
+  async drain(): Promise<void> {
+    this.ended ??= this.drainAndStop();
+    return this.ended;
+  }
+
+  private async openNetwork(): Promise<void> {
+    const {peers, limits, timing} = this.cfg;
+    this.network = await WsPeerNetwork.create(
+      {
+        self: this.self,
+        key: this.keys.peer,
+        peers: this.linkedPeers(),
+        clock: this.clock,
+        random: this.random,
+        maxFrameBytes: limits.peerFrameBytes,
+        maxBufferedBytes: MAX_BUFFERED_BYTES,
+        silenceMs: timing.peerTimeoutMs,
+        observer: {
+          linkUp: peer => this.log.emit('linkUp', {peer}),
+          linkDown: (peer, reason) => {
+            this.log.emit('linkDown', {peer, reason});
+            this.router.peerLost(peer);
+          },
+          linkRefused: reason => this.log.emit('linkRefused', {reason}),
+          sent: (type, bytes) => this.metrics.countMessage(type, bytes),
+        },
+      },
+      peers,
+    );
+  }
+
+  /** Instances of this data centre, and all replicas; a replica links to all. */
+  private linkedPeers(): Array<{
+    instanceId: InstanceId;
+    dataCentre: DataCentreId;
+    host: string;
+    port: number;
+    replica: boolean;
+  }> {
+    const {members} = this.cfg.peers;
+    const isReplica = this.cfg.dataDir !== undefined;
+    return members
+      .filter(m => m.instanceId !== this.self)
+      .filter(m => isReplica || m.replica || m.dataCentre === this.dataCentre)
+      .map(m => ({
+        ...m,
+        instanceId: m.instanceId as InstanceId,
+        dataCentre: m.dataCentre as DataCentreId,
+      }));
+  }
+
+  private createMembership(): void {
+    const {timing} = this.cfg;
+    this.membership = Membership.create({
+      self: this.self,
+      dataCentre: this.dataCentre,
+      boot: randomUUID() as BootId,
+      network: this.network,
+      clock: this.clock,
+      heartbeatMs: timing.heartbeatMs,
+      timeoutMs: timing.peerTimeoutMs,
+      ownState: () => this.state,
+      describe: () => ({
+        state: this.state,
+        stateIndex: this.store.index,
+        currentAgeMs: Math.min(this.currency.ageMs(), Number.MAX_SAFE_INTEGER),
+        digest: this.router.digest(),
+      }),
+      onHeartbeat: (from, heartbeat) => this.onHeartbeat(from, heartbeat),
+      onChange: (peer, alive) => {
+        this.log.emit(alive ? 'peerAlive' : 'peerDead', {peer});
+        this.registry.sweep();
+      },
+      onPause: pausedMs => {
+        this.log.emit('paused', {pausedMs: Math.round(pausedMs)});
+        this.renew();
+      },
+    });
+  }
+
+  private async createReplica(): Promise<void> {
+    if (this.cfg.dataDir === undefined) {
+      this.network.onCall('replicaStatus', () =>
+        Promise.resolve({
+          blank: true,
+          voter: false,
+          role: 'none',
+          term: 0,
+          commitIndex: 0,
+          stateIndex: this.store.index,
+        }),
+      );
+      return;
+    }
+    this.disk = await FolderDisk.create(this.cfg.dataDir);
+    this.replica = await Replica.create({
+      network: this.network,
+      clock: this.clock,
+      random: this.random,
+      disk: this.disk,
+      log: this.log,
+      replicaInstances: this.replicaInstances(),
+      electionTimeoutMs: this.cfg.timing.electionTimeoutMs,
+      compactAfter: COMPACT_AFTER_ENTRIES,
+      makeReplicaId: () => randomUUID() as ReplicaId,
+      apply: (index, command) => this.store.apply(index, command),
+      restore: (index, state) => this.store.restore(index, state),
+      serialize: () => this.store.serialize(),
+      stateIndex: () => this.store.index,
+    });
+  }
+
+  private createControl(): void {
+    this.currency = Currency.create(
+      this.clock,
+      () => this.replica?.currentAgeMs() ?? Infinity,
+    );
+    this.control = ControlClient.create({
+      network: this.network,
+      clock: this.clock,
+      store: this.store,
+      replica: this.replica,
+      replicaInstances: this.replicaInstances(),
+      leaderTimeoutMs: LEADER_TIMEOUT_MS,
+    });
+    this.store.onChange((before, after) => {
+      if (before.release !== after.release) {
+        this.log.emit('releaseInForce', {release: after.release});
+      }
+      const view = after.views[this.dataCentre];
+      if (view !== before.views[this.dataCentre]) {
+        this.log.emit('viewChanged', {view});
+        void this.seat.join();
+      }
+      this.membership.beat();
+    });
+  }
+
+  private createDispatch(): void {
+    const {clock, random, policy, log, cfg} = this;
+    this.registry = TargetRegistry.create(
+      this.self,
+      clock,
+      cfg.timing.targetTimeoutMs,
+      () => this.membership.liveHere(),
+    );
+    this.client = TargetClient.create({
+      clock,
+      maxAnswerBytes: cfg.limits.answerBodyBytes,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      taskLeaseMs: cfg.timing.taskLeaseMs,
+    });
+    this.keeper = Keeper.create({
+      clock,
+      random,
+      policy,
+      log,
+      registry: this.registry,
+      client: this.client,
+      maxWaiting: cfg.limits.queuedRequests,
+      retryRatio: RETRY_RATIO,
+      hedgeRatio: HEDGE_RATIO,
+    });
+    this.router = Router.create({
+      dataCentre: this.dataCentre,
+      network: this.network,
+      membership: this.membership,
+      keeper: this.keeper,
+      policy,
+      clock,
+      log,
+      retryRatio: RETRY_RATIO,
+      isCutOff: () => this.isCutOff(),
+      runEntry: work => this.runOnce(work),
+    });
+    this.network.onNotice('announcement', (_from, announcement) => {
+      this.registry.accept(announcement);
+    });
+  }
+
+  private createClaims(): void {
+    const {network, membership, clock, log, cfg} = this;
+    const {claimWindowMs, clockSkewMs} = cfg.timing;
+    const view = (): ClaimView | undefined =>
+      this.store.state.views[this.dataCentre];
+    this.table = ClaimTable.create(
+      cfg.limits.claims,
+      cfg.limits.keptAnswerBytes,
+      claimWindowMs + 2 * clockSkewMs,
+    );
+    this.seat = Seat.create({
+      network,
+      table: this.table,
+      log,
+      boot: () => membership.boot,
+      view,
+    });
+    this.claims = Claims.create({
+      dataCentre: this.dataCentre,
+      network,
+      membership,
+      clock,
+      log,
+      table: this.table,
+      seat: this.seat,
+      view,
+      windowMs: claimWindowMs,
+      clockSkewMs,
+      claimTimeoutMs: CLAIM_TIMEOUT_MS,
+      makeClaimId: () => randomUUID(),
+    });
+    this.viewKeeper = ViewKeeper.create({
+      self: this.self,
+      dataCentre: this.dataCentre,
+      clock,
+      log,
+      membership,
+      seat: this.seat,
+      periodMs: cfg.timing.heartbeatMs,
+      view,
+      propose: command => this.control.propose(command).catch(() => undefined),
+      renew: () => this.renew(),
+      isCurrent: () => this.state !== 'starting' && !this.isCutOff(),
+    });
+    const runner = JobRunner.create({
+      clock,
+      log,
+      digest: () => this.router.digest(),
+      release: () => this.policy.release(),
+      route: (work, signal) => this.router.route(work, signal, {spill: false}),
+    });
+    this.jobs = JobService.create({
+      dataCentre: this.dataCentre,
+      network,
+      claims: this.claims,
+      runner,
+      instanceIn: dataCentre => this.instanceIn(dataCentre),
+    });
+  }
+
+  private async listen(): Promise<void> {
+    const {cfg, log} = this;
+    this.callers = await HttpApp.create(
+      {
+        log,
+        routes: callerRoutes({
+          dataCentre: this.dataCentre,
+          clock: this.clock,
+          policy: this.policy,
+          defaultDeadlineMs: cfg.timing.defaultDeadlineMs,
+          maxJobTasks: cfg.limits.jobTasks,
+          announceIntervalMs: ANNOUNCE_INTERVAL_MS,
+          state: () => this.store.state,
+          isReady: () => this.state === 'ready' || this.state === 'draining',
+          isInBalance: () => this.state === 'ready',
+          generation: () =>
+            this.store.state.views[this.dataCentre]?.generation ?? 0,
+          runRepeatable: (work, signal) =>
+            this.counted(work, () =>
+              this.router.route(work, signal, {spill: true}),
+            ),
+          runOnce: work => this.counted(work, () => this.runOnce(work)),
+          job: command => this.jobs.run(command),
+          announce: announcement => this.announce(announcement),
+          setPreferences: (customer, choices) =>
+            this.control.propose({kind: 'setPreferences', customer, choices}),
+        }),
+        maxBodyBytes: cfg.limits.requestBodyBytes,
+        maxConnections: cfg.limits.callerConnections,
+        commonHeaders: () => this.commonHeaders(),
+        guard: (req, path) => {
+          const key = this.keys.announce;
+          return key !== undefined && path === '/v1/targets'
+            ? bearerGuard(req, key)
+            : undefined;
+        },
+      },
+      cfg.callers,
+    );
+    this.operators = await HttpApp.create(
+      {
+        log,
+        routes: operatorRoutes({
+          self: this.self,
+          dataCentre: this.dataCentre,
+          clock: this.clock,
+          log,
+          store: this.store,
+          membership: this.membership,
+          registry: this.registry,
+          keeper: this.keeper,
+          metrics: this.metrics,
+          status: () => this.status(),
+          propose: command => this.control.propose(command),
+          formCluster: () =>
+            formCluster(
+              this.network,
+              this.replica,
+              this.replicaInstances(),
+              this.otherInstances(),
+            ),
+          drain: () => void this.drain(),
+        }),
+        maxBodyBytes: cfg.limits.requestBodyBytes,
+        maxConnections: cfg.limits.callerConnections,
+        commonHeaders: () => this.commonHeaders(),
+        guard: req => bearerGuard(req, this.keys.operator),
+      },
+      cfg.operators,
+    );
+  }
+
+  private start(): void {
+    this.metrics.addGauges(() => this.gauges());
+    this.network.start();
+    this.membership.start();
+    this.replica?.start();
+    this.viewKeeper.start();
+    void this.sweepLoop();
+    void this.readyLoop();
+    this.log.emit('started', {
+      dataCentre: this.dataCentre,
+      boot: this.membership.boot,
+      callersPort: this.callers.port,
+      operatorsPort: this.operators.port,
+      peersPort: this.network.port,
+      release: this.policy.release(),
+    });
+  }
+
+  private onHeartbeat(from: InstanceId, heartbeat: Heartbeat): void {
+    this.router.learn(from, heartbeat.digest);
+    if (heartbeat.stateIndex <= this.store.index) {
+      this.currency.confirm(heartbeat.currentAgeMs);
+    }
+    void this.control.learn(from, heartbeat);
+  }
+
+  /** Runs work with a key where its home is; claims it here if that is here. */
+  private async runOnce(work: Work): Promise<Outcome> {
+    const {home} = parseRequestKey(work.requestId, 'papayarun-id');
+    if (home !== this.dataCentre) {
+      const instance = this.instanceIn(home);
+      if (!instance) {
+        const err = this.isMemberDataCentre(home)
+          ? DispatchError.notRun(
+              'homeUnreachable',
+              `${home}, the id's home, can't be reached`,
+            )
+          : DispatchError.notRun(
+              'unknownHome',
+              `${home} is no data centre here`,
+              {field: 'papayarun-id'},
+            );
+        return {kind: 'refused', refusal: err.refusal};
+      }
+      return this.router.forward(instance, 'entry', work, this.stopping.signal);
+    }
+    const content = fingerprint(
+      Buffer.concat([Buffer.from(`${work.service} ${work.path}\n`), work.body]),
+    );
+    return this.claims.runOnce(work.requestId, content, work.deadlineMs, () =>
+      this.router.route(work, this.stopping.signal, {spill: false}),
+    );
+  }
+
+  private async counted(
+    work: Work,
+    run: () => Promise<Outcome>,
+  ): Promise<Outcome> {
+    const startedMs = this.clock.now();
+    const outcome = await run();
+    const verdict =
+      outcome.kind === 'answered' ? 'ran' : outcome.refusal.verdict.kind;
+    this.metrics.countRequest(work.kind, verdict, this.clock.now() - startedMs);
+    return outcome;
+  }
+
+  private announce(announcement: Announcement): void {
+    for (const keeper of this.registry.keepersOf(announcement.targetId)) {
+      if (keeper === this.self) {
+        this.registry.accept(announcement);
+      } else {
+        this.network.notify(keeper, 'announcement', announcement);
+      }
+    }
+  }
+
+  /** Becomes another incarnation: its old claims are no longer its own. */
+  private renew(): void {
+    this.seat.reset();
+    this.table.clear();
+    this.membership.renew(randomUUID() as BootId);
+  }
+
+  private instanceIn(dataCentre: DataCentreId): InstanceId | undefined {
+    const there = this.membership
+      .livePeers()
+      .filter(
+        p =>
+          p.heartbeat.dataCentre === dataCentre &&
+          p.heartbeat.state === 'ready',
+      );
+    const at = Math.floor(this.random.next() * there.length);
+    return there[at]?.instanceId;
+  }
+
+  private isMemberDataCentre(dataCentre: DataCentreId): boolean {
+    return this.cfg.peers.members.some(m => m.dataCentre === dataCentre);
+  }
+
+  private isCutOff(): boolean {
+    return this.currency.ageMs() > this.cfg.timing.cutOffAfterMs;
+  }
+
+  private replicaInstances(): InstanceId[] {
+    return this.cfg.peers.members
+      .filter(m => m.replica)
+      .map(m => m.instanceId as InstanceId);
+  }
+
+  private otherInstances(): InstanceId[] {
+    return this.linkedPeers()
+      .filter(m => !m.replica)
+      .map(m => m.instanceId);
+  }
+
+  /** Ready once the release in force is known, or the best one in a cut. */
+  private async readyLoop(): Promise<void> {
+    const startedMs = this.clock.now();
+    while (this.state === 'starting' && !this.stopping.signal.aborted) {
+      const index = await this.control.readIndex();
+      const isCurrent =
+        index !== undefined && this.store.index >= index && index > 0;
+      const waitedMs = this.clock.now() - startedMs;
+      const isBestInCut =
+        index === undefined &&
+        this.store.index > 0 &&
+        waitedMs >
+          this.cfg.timing.cutOffAfterMs + this.cfg.timing.peerTimeoutMs;
+      if ((isCurrent || isBestInCut) && this.state === 'starting') {
+        this.state = 'ready';
+        this.membership.invalidate();
+        this.membership.beat();
+        this.log.emit('ready', {
+          release: this.policy.release(),
+          current: isCurrent,
+        });
+        return;
+      }
+      await this.clock.sleep(READY_PERIOD_MS, this.stopping.signal);
+    }
+  }
+
+  private async sweepLoop(): Promise<void> {
+    while (!this.stopping.signal.aborted) {
+      await this.clock.sleep(SWEEP_PERIOD_MS, this.stopping.signal);
+      this.registry.sweep();
+      this.table.sweep(this.clock.wallNow());
+      const isCutOff = this.state === 'ready' && this.isCutOff();
+      if (isCutOff !== this.wasCutOff) {
+        this.wasCutOff = isCutOff;
+        this.log.emit(isCutOff ? 'cutOff' : 'current', {
+          release: this.policy.release(),
+        });
+      }
+    }
+  }
+
+  private async drainAndStop(): Promise<void> {
+    const {drainDelayMs, drainTimeoutMs} = this.cfg.timing;
+    this.log.emit('draining', {inProgress: this.callers.inProgress});
+    this.state = 'draining';
+    this.membership.invalidate();
+    this.membership.beat();
+    this.callers.beginClose();
+    await this.clock.sleep(drainDelayMs);
+    this.callers.stopListening();
+    const startedMs = this.clock.now();
+    while (
+      this.inProgress() > 0 &&
+      this.clock.now() - startedMs < drainTimeoutMs
+    ) {
+      await this.clock.sleep(DRAIN_POLL_MS);
+    }
+    await this.viewKeeper.leave(LEAVE_TIMEOUT_MS);
+    const left = this.inProgress();
+    await this.stop();
+    this.log.emit('stopped', {left});
+  }
+
+  private inProgress(): number {
+    return (
+      this.callers.inProgress + this.router.serving + this.claims.runningCount
+    );
+  }
+
+  private async stop(): Promise<void> {
+    this.stopping.abort(DispatchError.notRun('draining', 'the instance ends'));
+    this.viewKeeper.stop();
+    this.membership.stop();
+    await this.replica?.stop();
+    this.callers.closeAll();
+    this.operators.closeAll();
+    this.client.close();
+    await this.network.stop();
+    await this.disk?.close();
+  }
+
+  private commonHeaders(): Record<string, string> {
+    return {
+      'papayarun-instance': this.self,
+      'papayarun-release': String(this.policy.release()),
+      'papayarun-release-current': String(!this.isCutOff()),
+    };
+  }
+
+  private status(): Record<string, unknown> {
+    const {state} = this.store;
+    return {
+      instanceId: this.self,
+      dataCentre: this.dataCentre,
+      boot: this.membership.boot,
+      state: this.state,
+      release: state.release,
+      stateIndex: this.store.index,
+      stateDigest: fingerprint(this.store.serialize()),
+      cutOff: this.isCutOff(),
+      view: state.views[this.dataCentre],
+      seat: this.seat.isSynced()
+        ? 'synced'
+        : this.seat.memberView()
+          ? 'joining'
+          : 'none',
+      replica: this.replica?.status(),
+      linked: this.network.linked(),
+      callersPort: this.callers.port,
+    };
+  }
+
+  private gauges(): Record<string, number> {
+    const {counts} = this.keeper;
+    return {
+      release: this.policy.release(),
+      cut_off: this.isCutOff() ? 1 : 0,
+      callers_in_progress: this.callers.inProgress,
+      forwards: this.router.forwards,
+      claims: this.table.size,
+      claim_kept_bytes: this.table.keptBytes,
+      target_sends: counts.sends,
+      target_busy_refusals: counts.busyRefusals,
+      target_unreachable: counts.unreachable,
+      target_retries: counts.retries,
+      target_hedges: counts.hedges,
+      target_ejections: counts.ejections,
+      live_peers: this.membership.livePeers().length,
+    };
+  }
+}
+
+function fromUuid(): number {
+  return parseInt(randomUUID().slice(0, 8), 16) | 0;
+}
--- /dev/null
+++ b/packages/daemon/src/metrics/metrics.ts
@@ -0,0 +1,117 @@
+import {
+  collectDefaultMetrics,
+  Counter,
+  Gauge,
+  Histogram,
+  Registry,
+} from 'prom-client';
+
+/** Upper bounds of the response time buckets, in seconds. */
+const BUCKETS_SECONDS = [
+  0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30,
+];
+const MS_PER_SECOND = 1000;
+
+/** Values read from components when metrics are scraped. */
+export type GaugeSource = () => Readonly<Record<string, number>>;
+
+/**
+ * Prometheus metrics of an instance.
+ */
+export class Metrics {
+  private readonly registry = new Registry();
+  private readonly requests: Counter<'kind' | 'verdict'>;
+  private readonly responseTime: Histogram<'kind'>;
+  private readonly peerMessages: Counter<'type'>;
+  private readonly peerBytes: Counter<'type'>;
+
+  private constructor() {
+    const registers = [this.registry];
+    this.requests = new Counter({
+      name: 'papayarun_requests_total',
+      help: 'Requests of callers by kind and verdict.',
+      labelNames: ['kind', 'verdict'],
+      registers,
+    });
+    this.responseTime = new Histogram({
+      name: 'papayarun_response_seconds',
+      help: 'Time from a request to its answer, by kind.',
+      labelNames: ['kind'],
+      buckets: BUCKETS_SECONDS,
+      registers,
+    });
+    this.peerMessages = new Counter({
+      name: 'papayarun_peer_messages_total',
+      help: 'Messages sent to other instances, by type.',
+      labelNames: ['type'],
+      registers,
+    });
+    this.peerBytes = new Counter({
+      name: 'papayarun_peer_bytes_total',
+      help: 'Bytes sent to other instances, by message type.',
+      labelNames: ['type'],
+      registers,
+    });
+    collectDefaultMetrics({register: this.registry});
+  }
+
+  /**
+   * Makes the metrics.
+   *
+   * @returns The metrics.
+   * @example
+   * const metrics = Metrics.create();
+   */
+  static create(): Metrics {
+    return new Metrics();
+  }
+
+  /** Adds gauges `papayarun_<name>` that are read at each scrape. */
+  addGauges(source: GaugeSource): void {
+    const gauges = new Map<string, Gauge>();
+    const gaugeOf = (name: string): Gauge => {
+      let gauge = gauges.get(name);
+      if (!gauge) {
+        gauge = new Gauge({
+          name: `papayarun_${name}`,
+          help: name.replaceAll('_', ' '),
+          registers: [],
+        });
+        gauges.set(name, gauge);
+        this.registry.registerMetric(gauge);
+      }
+      return gauge;
+    };
+    this.readers.push(() => {
+      for (const [name, value] of Object.entries(source())) {
+        gaugeOf(name).set(value);
+      }
+    });
+  }
+
+  countRequest(kind: string, verdict: string, ms: number): void {
+    this.requests.inc({kind, verdict});
+    this.responseTime.observe({kind}, ms / MS_PER_SECOND);
+  }
+
+  countMessage(type: string, bytes: number): void {
+    this.peerMessages.inc({type});
+    this.peerBytes.inc({type}, bytes);
+  }
+
+  /** Text of all metrics. */
+  async render(): Promise<{
+    readonly contentType: string;
+    readonly text: string;
+  }> {
+    for (const read of this.readers) {
+      read();
+    }
+    return {
+      contentType: this.registry.contentType,
+      text: await this.registry.metrics(),
+    };
+  }
+
+  private readonly readers: Array<() => void> = [];
+}
--- /dev/null
+++ b/packages/daemon/src/operator_api/operator_api_options.ts
@@ -0,0 +1,34 @@
+import type {Keeper, TargetRegistry} from '@papayarun/dispatch';
+import type {Membership} from '@papayarun/membership';
+import type {
+  Clock,
+  DataCentreId,
+  EventLog,
+  InstanceId,
+  ReplicaSet,
+} from '@papayarun/protocol';
+import type {
+  ControlCommand,
+  ControlResult,
+  ControlStore,
+} from '@papayarun/releases';
+import type {Metrics} from '../metrics/metrics.js';
+
+/**
+ * What the operators' interface asks of the instance.
+ */
+export interface OperatorApiOptions {
+  readonly self: InstanceId;
+  readonly dataCentre: DataCentreId;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly store: ControlStore;
+  readonly membership: Membership;
+  readonly registry: TargetRegistry;
+  readonly keeper: Keeper;
+  readonly metrics: Metrics;
+  readonly status: () => Readonly<Record<string, unknown>>;
+  readonly propose: (command: ControlCommand) => Promise<ControlResult>;
+  readonly formCluster: () => Promise<ReplicaSet>;
+  readonly drain: () => void;
+}
--- /dev/null
+++ b/packages/daemon/src/operator_api/operator_routes.ts
@@ -0,0 +1,261 @@
+import type {TargetRecord} from '@papayarun/dispatch';
+import type {DataCentreId} from '@papayarun/protocol';
+import {DispatchError, fingerprint} from '@papayarun/protocol';
+import type {ControlState} from '@papayarun/releases';
+import {parseNote} from '@papayarun/releases';
+import type {HttpRequest} from '../http/http_request.js';
+import type {HttpResponse} from '../http/http_response.js';
+import type {HttpRoute} from '../http/http_route.js';
+import type {OperatorApiOptions} from './operator_api_options.js';
+
+/**
+ * Routes of the operators' interface.
+ *
+ * @param opts - What it asks of the instance.
+ * @returns The routes.
+ * @throws Never.
+ * @example
+ * const app = await HttpApp.create({routes: operatorRoutes(opts), ...rest}, listen);
+ */
+export function operatorRoutes(opts: OperatorApiOptions): HttpRoute[] {
+  const now = (json: unknown): Promise<HttpResponse> =>
+    Promise.resolve({status: 200, body: {json}});
+  return [
+    {method: 'GET', path: '/metrics', handle: () => metrics(opts)},
+    {method: 'GET', path: '/v1/status', handle: () => now(opts.status())},
+    {method: 'POST', path: '/v1/releases', handle: req => applyNote(opts, req)},
+    {
+      method: 'GET',
+      path: '/v1/releases',
+      handle: () => now(history(opts.store.state)),
+    },
+    {
+      method: 'GET',
+      path: '/v1/releases/:number',
+      handle: req => now(release(opts.store.state, req)),
+    },
+    {method: 'GET', path: '/v1/instances', handle: () => now(instances(opts))},
+    {
+      method: 'GET',
+      path: '/v1/targets',
+      handle: () => now(targets(opts, false)),
+    },
+    {
+      method: 'GET',
+      path: '/v1/workers',
+      handle: () => now(targets(opts, true)),
+    },
+    {method: 'GET', path: '/v1/queues', handle: () => now(queues(opts))},
+    {method: 'POST', path: '/v1/cluster', handle: () => formCluster(opts)},
+    {method: 'POST', path: '/v1/drain', handle: () => drain(opts)},
+    {
+      method: 'POST',
+      path: '/v1/views/:dataCentre/reset',
+      handle: req => resetView(opts, req),
+    },
+  ];
+}
+
+async function metrics(opts: OperatorApiOptions): Promise<HttpResponse> {
+  const {contentType, text} = await opts.metrics.render();
+  return {
+    status: 200,
+    headers: {'content-type': contentType},
+    body: Buffer.from(text),
+  };
+}
+
+async function applyNote(
+  opts: OperatorApiOptions,
+  req: HttpRequest,
+): Promise<HttpResponse> {
+  const note = parseNote(parseDocument(req.body));
+  const content = Buffer.from(
+    JSON.stringify([
+      note.base,
+      sorted(note.added),
+      sorted(note.changed),
+      note.withdrawn,
+    ]),
+  );
+  const result = await opts.propose({
+    kind: 'applyNote',
+    note,
+    fingerprint: fingerprint(content),
+    atMs: opts.clock.wallNow(),
+  });
+  if (result.kind !== 'note') {
+    throw DispatchError.mayHaveRun(
+      'internal',
+      'the release log gave no verdict',
+    );
+  }
+  const {verdict} = result;
+  opts.log.emit('noteDecided', {noteId: note.noteId, verdict});
+  if (verdict.kind === 'accepted') {
+    return {status: 200, body: {json: {noteId: note.noteId, ...verdict}}};
+  }
+  const json = {
+    verdict: 'notRun',
+    code: 'conflict',
+    message: verdict.reason,
+    noteId: note.noteId,
+    currentRelease: verdict.currentRelease,
+  };
+  return {status: 409, headers: {'papayarun-verdict': 'notRun'}, body: {json}};
+}
+
+function parseDocument(body: Uint8Array): unknown {
+  try {
+    return JSON.parse(Buffer.from(body).toString('utf8'));
+  } catch (err) {
+    const text = `the body is not JSON: ${(err as Error).message}`;
+    throw DispatchError.notRun('badRequest', text, {field: '$'});
+  }
+}
+
+function sorted(
+  values: Readonly<Record<string, unknown>>,
+): Array<[string, unknown]> {
+  return Object.entries(values).sort(([a], [b]) => (a < b ? -1 : 1));
+}
+
+function history(state: ControlState): unknown {
+  return {
+    current: state.release,
+    notes: state.history.map(({release, note, atMs}) => ({
+      release,
+      noteId: note.noteId,
+      at: new Date(atMs).toISOString(),
+      added: Object.keys(note.added),
+      changed: Object.keys(note.changed),
+      withdrawn: note.withdrawn,
+    })),
+  };
+}
+
+function release(state: ControlState, req: HttpRequest): unknown {
+  const wanted = req.params['number']!;
+  if (wanted === 'current') {
+    return {
+      release: state.release,
+      entries: state.entries,
+      withdrawn: state.tombstones,
+    };
+  }
+  const found = state.history.find(
+    accepted => String(accepted.release) === wanted,
+  );
+  if (!found) {
+    throw DispatchError.notRun(
+      'notFound',
+      `release ${wanted} is not among those kept`,
+      {
+        field: 'number',
+      },
+    );
+  }
+  return {
+    release: found.release,
+    at: new Date(found.atMs).toISOString(),
+    note: found.note,
+  };
+}
+
+function instances(opts: OperatorApiOptions): unknown {
+  const nowMs = opts.clock.now();
+  const peers = opts.membership
+    .livePeers()
+    .map(({instanceId, heartbeat, heardMs}) => ({
+      instanceId,
+      dataCentre: heartbeat.dataCentre,
+      boot: heartbeat.boot,
+      state: heartbeat.state,
+      stateIndex: heartbeat.stateIndex,
+      heardMsAgo: Math.round(nowMs - heardMs),
+    }));
+  const own = {
+    instanceId: opts.self,
+    dataCentre: opts.dataCentre,
+    boot: opts.membership.boot,
+    state: opts.status()['state'],
+    stateIndex: opts.store.index,
+    heardMsAgo: 0,
+  };
+  return {instances: [own, ...peers], views: opts.store.state.views};
+}
+
+function targets(opts: OperatorApiOptions, workers: boolean): unknown {
+  const records = opts.registry
+    .all()
+    .filter(record => (record.announcement.worker !== undefined) === workers);
+  const rows = records.map(record => describe(record, opts.clock.now()));
+  return workers ? {workers: rows} : {targets: rows};
+}
+
+function describe(record: TargetRecord, nowMs: number): unknown {
+  const {service, state, slots, url, worker} = record.announcement;
+  return {
+    targetId: record.id,
+    service,
+    state,
+    keptHere: record.kept,
+    health: record.health.kind,
+    inFlight: record.inFlight,
+    slots,
+    url,
+    heardMsAgo: Math.round(nowMs - record.heardMs),
+    ...(worker && {
+      rack: worker.rack,
+      total: worker.total,
+      used: worker.used,
+      placed: record.placed,
+    }),
+  };
+}
+
+function queues(opts: OperatorApiOptions): unknown {
+  const rows = [...opts.keeper.allPools()].map(([service, pool]) => ({
+    service,
+    ...pool.digest(),
+    waitingByKind: pool.waitingByKind(),
+  }));
+  return {queues: rows};
+}
+
+async function formCluster(opts: OperatorApiOptions): Promise<HttpResponse> {
+  const replicas = await opts.formCluster();
+  opts.log.emit('operatorAction', {action: 'formCluster', replicas});
+  return {status: 200, body: {json: {replicas}}};
+}
+
+function drain(opts: OperatorApiOptions): Promise<HttpResponse> {
+  opts.log.emit('operatorAction', {action: 'drain'});
+  opts.drain();
+  return Promise.resolve({status: 202, body: {json: {draining: true}}});
+}
+
+async function resetView(
+  opts: OperatorApiOptions,
+  req: HttpRequest,
+): Promise<HttpResponse> {
+  const dataCentre = req.params['dataCentre'] as DataCentreId;
+  if (dataCentre !== opts.dataCentre) {
+    const text = `ask an instance of ${dataCentre}: only it knows who is alive there`;
+    throw DispatchError.notRun('conflict', text, {field: 'dataCentre'});
+  }
+  const view = opts.store.state.views[dataCentre];
+  const live = opts.membership
+    .livePeers()
+    .filter(peer => peer.heartbeat.dataCentre === dataCentre)
+    .map(peer => ({instanceId: peer.instanceId, boot: peer.heartbeat.boot}));
+  const result = await opts.propose({
+    kind: 'setView',
+    dataCentre,
+    fromEpoch: view?.epoch ?? 0,
+    members: [{instanceId: opts.self, boot: opts.membership.boot}, ...live],
+    reset: {replaced: [], byOperator: true},
+  });
+  opts.log.emit('operatorAction', {action: 'resetView', dataCentre, result});
+  return {status: 200, body: {json: result}};
+}
--- /dev/null
+++ b/packages/dispatch/src/choose_keeper/keeper_candidate.ts
@@ -0,0 +1,12 @@
+import type {InstanceId} from '@papayarun/protocol';
+
+/**
+ * Room of one instance for a service, as the chooser sees it.
+ */
+export interface KeeperCandidate {
+  readonly instanceId: InstanceId;
+  readonly slots: number;
+  /** Free slots, less what was sent there since the digest came. */
+  readonly free: number;
+  readonly queued: number;
+}
--- /dev/null
+++ b/packages/dispatch/src/job_runner/job_progress.ts
@@ -0,0 +1,7 @@
+/**
+ * How far a running job is.
+ */
+export interface JobProgress {
+  readonly tasks: number;
+  readonly finished: number;
+}
--- /dev/null
+++ b/packages/dispatch/src/job_runner/job_runner.ts
@@ -0,0 +1,217 @@
+import type {
+  JobId,
+  JobSpec,
+  JobView,
+  Outcome,
+  Refusal,
+  Resources,
+  TaskId,
+  Work,
+} from '@papayarun/protocol';
+import {DispatchError} from '@papayarun/protocol';
+import {fitsIn} from '../resources/fits_in.js';
+import type {JobProgress} from './job_progress.js';
+import type {JobRunnerOptions} from './job_runner_options.js';
+
+const FIRST_ERROR_STATUS = 400;
+
+interface RunningJob {
+  readonly spec: JobSpec;
+  readonly cancel: AbortController;
+  finished: number;
+}
+
+/**
+ * Runs the tasks of jobs whose claims this instance owns.
+ *
+ * @description A job is complete when every task was answered; the first
+ * failure stops the others and fails the whole job. A task that may have
+ * started is never sent again.
+ */
+export class JobRunner {
+  private readonly jobs = new Map<JobId, RunningJob>();
+
+  private constructor(private readonly opts: JobRunnerOptions) {}
+
+  /**
+   * Makes a runner without jobs.
+   *
+   * @param opts - Clock, log and the way to workers.
+   * @returns The runner.
+   * @example
+   * const runner = JobRunner.create(opts);
+   */
+  static create(opts: JobRunnerOptions): JobRunner {
+    return new JobRunner(opts);
+  }
+
+  /** Progress of a job that runs here. */
+  progress(id: JobId): JobProgress | undefined {
+    const job = this.jobs.get(id);
+    return job && {tasks: job.spec.tasks.length, finished: job.finished};
+  }
+
+  /** Cancels a job that runs here; false when none does. */
+  cancel(id: JobId): boolean {
+    const job = this.jobs.get(id);
+    job?.cancel.abort(
+      DispatchError.notRun('cancelled', 'the job was cancelled'),
+    );
+    return job !== undefined;
+  }
+
+  /**
+   * Runs a job to its end.
+   *
+   * @param spec - The job.
+   * @returns The answer, holding a complete JobView, or a refusal.
+   */
+  async run(spec: JobSpec): Promise<Outcome> {
+    const unfit = this.refuseUnfit(spec);
+    if (unfit) {
+      return {kind: 'refused', refusal: unfit};
+    }
+    const job: RunningJob = {spec, cancel: new AbortController(), finished: 0};
+    this.jobs.set(spec.id, job);
+    const startedMs = this.opts.clock.now();
+    this.opts.log.emit('jobStarted', {
+      job: spec.id,
+      tasks: spec.tasks.length,
+      kind: spec.kind,
+    });
+    const outcomes = await Promise.all(
+      spec.tasks.map((_task, i) => this.runTask(job, i)),
+    );
+    this.jobs.delete(spec.id);
+    const outcome = this.conclude(spec, outcomes);
+    this.opts.log.emit('jobEnded', {
+      job: spec.id,
+      outcome: outcome.kind,
+      code: outcome.kind === 'refused' ? outcome.refusal.code : undefined,
+      ms: Math.round(this.opts.clock.now() - startedMs),
+    });
+    return outcome;
+  }
+
+  private async runTask(job: RunningJob, i: number): Promise<Outcome> {
+    const outcome = await this.opts.route(
+      workOf(job.spec, i),
+      job.cancel.signal,
+    );
+    if (isGood(outcome)) {
+      job.finished++;
+    } else {
+      job.cancel.abort(
+        DispatchError.notRun('cancelled', 'another task of the job failed'),
+      );
+    }
+    return outcome;
+  }
+
+  /** Refuses a job with a task that no known worker could ever hold. */
+  private refuseUnfit(spec: JobSpec): Refusal | undefined {
+    const digest = this.opts.digest().dataCentre[spec.service];
+    if (!digest?.largest || digest.slots === 0) {
+      return DispatchError.notRun(
+        'noTargets',
+        `no worker of ${spec.service} is ready`,
+      ).refusal;
+    }
+    const {largest} = digest;
+    const unfit = spec.tasks.findIndex(task => !fitsIn(task.needs, largest));
+    if (unfit < 0) {
+      return undefined;
+    }
+    const text = `no worker could ever hold task ${unfit}: the largest have ${describe(largest)}`;
+    return DispatchError.notRun('neverFits', text, {
+      field: `$.tasks.${unfit}.needs`,
+    }).refusal;
+  }
+
+  private conclude(spec: JobSpec, outcomes: readonly Outcome[]): Outcome {
+    const failures = outcomes.filter(outcome => !isGood(outcome));
+    if (failures.length > 0) {
+      return {kind: 'refused', refusal: refusalOfJob(outcomes, failures)};
+    }
+    const answers = outcomes.map(
+      outcome => outcome.kind === 'answered' && parse(outcome.answer.body),
+    );
+    const release = this.opts.release();
+    const view: JobView = {state: 'complete', id: spec.id, release, answers};
+    const body = Buffer.from(JSON.stringify(view));
+    return {
+      kind: 'answered',
+      answer: {status: 200, contentType: 'application/json', body, release},
+    };
+  }
+}
+
+function workOf(spec: JobSpec, i: number): Work {
+  const task = spec.tasks[i]!;
+  return {
+    requestId: `${spec.id}:${i}` as TaskId,
+    job: spec.id,
+    service: spec.service,
+    kind: spec.kind,
+    caller: spec.caller,
+    team: spec.team,
+    urgency: spec.urgency,
+    deadlineMs: spec.deadlineMs,
+    repeatable: false,
+    declaredRunMs: task.runMs,
+    needs: task.needs,
+    path: '/v1/tasks',
+    contentType: 'application/json',
+    body: Buffer.from(
+      JSON.stringify({
+        taskId: `${spec.id}:${i}`,
+        needs: task.needs,
+        runMs: task.runMs,
+        input: task.input ?? null,
+      }),
+    ),
+  };
+}
+
+function isGood(outcome: Outcome): boolean {
+  return (
+    outcome.kind === 'answered' && outcome.answer.status < FIRST_ERROR_STATUS
+  );
+}
+
+/** Refusal of the job: `notRun` only when no task at all can have run. */
+function refusalOfJob(
+  outcomes: readonly Outcome[],
+  failures: readonly Outcome[],
+): Refusal {
+  const refusals = failures.flatMap(f =>
+    f.kind === 'refused' ? [f.refusal] : [],
+  );
+  const cause = refusals.find(r => r.code !== 'cancelled') ?? refusals[0];
+  const noneRan =
+    failures.length === outcomes.length &&
+    refusals.length === failures.length &&
+    refusals.every(r => r.verdict.kind === 'notRun');
+  if (noneRan) {
+    return cause!;
+  }
+  const isCancelled = cause?.code === 'cancelled';
+  const text = cause?.message ?? 'a worker answered a task with an error';
+  return DispatchError.mayHaveRun(
+    isCancelled ? 'cancelled' : 'taskFailed',
+    text,
+  ).refusal;
+}
+
+function parse(body: Uint8Array): unknown {
+  const text = Buffer.from(body).toString('utf8');
+  try {
+    return JSON.parse(text);
+  } catch {
+    return text;
+  }
+}
+
+function describe(amount: Resources): string {
+  return `${amount.cores} cores, ${amount.memoryMb} MB, ${amount.accelerators} accelerators`;
+}
--- /dev/null
+++ b/packages/dispatch/src/pool/pool.ts
@@ -0,0 +1,458 @@
+import type {PoolDigest, Resources, TargetId, Work} from '@papayarun/protocol';
+import {DispatchError} from '@papayarun/protocol';
+import PQueue from 'p-queue';
+import {FairQueue} from '../fair_queue/fair_queue.js';
+import type {QueueEntry} from '../fair_queue/queue_entry.js';
+import {addResources} from '../resources/add_resources.js';
+import {fitsIn} from '../resources/fits_in.js';
+import {freeResources} from '../resources/free_resources.js';
+import {RunTimes} from '../run_times/run_times.js';
+import type {TargetRecord} from '../target_registry/target_record.js';
+import {allowedSlots} from './allowed_slots.js';
+import {expectedWait} from './expected_wait.js';
+import type {PoolOptions} from './pool_options.js';
+import type {Slot} from './slot.js';
+
+/** Targets looked at for one placement. */
+const CANDIDATES = 32;
+/** Alternatives named in a decision's log line. */
+const LOGGED_ALTERNATIVES = 4;
+/** Wait after which a task that doesn't fit gets a worker reserved. */
+const RESERVE_AFTER_MS = 3_000;
+/** Smallest number of waiting places of a kind. */
+const MIN_KIND_PLACES = 64;
+/** Part of the targets that may be ejected before the rest would drown. */
+const MAX_EJECTED_PART = 0.5;
+const RACK_PENALTY = 0.25;
+
+/**
+ * The kept targets of one service and the work that waits for them.
+ *
+ * @description p-queue starts the work; its queue class is a FairQueue that
+ * offers an entry only when one of the targets has room for it.
+ */
+export class Pool {
+  readonly runTimes = RunTimes.create();
+  private readonly members = new Map<TargetId, TargetRecord>();
+  private readonly open = new Set<TargetRecord>();
+  private readonly teamBusy = new Map<string, number>();
+  private readonly callerBusy = new Map<string, number>();
+  /** Running tasks by job and rack. */
+  private readonly jobRacks = new Map<string, number>();
+  private readonly fairQueue: FairQueue;
+  private readonly pqueue: PQueue;
+  private tooManyEjected = false;
+  private slots = 0;
+  private busy = 0;
+  private reserved:
+    {readonly record: TargetRecord; readonly entry: QueueEntry} | undefined;
+
+  private constructor(private readonly opts: PoolOptions) {
+    const fairQueue = FairQueue.create({
+      weightOf: kind => this.opts.policy.weightOf(kind),
+      hasRoom: () => this.open.size > 0,
+      canStart: entry => this.canStart(entry),
+    });
+    this.fairQueue = fairQueue;
+    this.pqueue = new PQueue({
+      queueClass: class {
+        constructor() {
+          return fairQueue;
+        }
+      } as never,
+    });
+  }
+
+  /**
+   * Makes a pool without targets.
+   *
+   * @param opts - Service, policy and bounds.
+   * @returns The pool.
+   * @example
+   * const pool = Pool.create(opts);
+   */
+  static create(opts: PoolOptions): Pool {
+    return new Pool(opts);
+  }
+
+  /** Takes a target's new state: adds, updates or drops it. */
+  update(record: TargetRecord): void {
+    if (record.kept && record.announcement.state === 'ready') {
+      this.members.set(record.id, record);
+    } else {
+      this.members.delete(record.id);
+      this.open.delete(record);
+      if (this.reserved?.record === record) {
+        this.reserved = undefined;
+      }
+    }
+    this.recount();
+  }
+
+  /** Targets that this pool sends to. */
+  targets(): TargetRecord[] {
+    return [...this.members.values()];
+  }
+
+  get waiting(): number {
+    return this.fairQueue.waiting;
+  }
+
+  /** Waiting work by kind. */
+  waitingByKind(): Record<string, number> {
+    const kinds = this.fairQueue.backlogged();
+    return Object.fromEntries(
+      kinds.map(kind => [kind, this.fairQueue.waitingOf(kind)]),
+    );
+  }
+
+  digest(): PoolDigest {
+    return {
+      slots: this.slots,
+      free: Math.max(0, this.slots - this.busy),
+      queued: this.fairQueue.waiting,
+      runMs: Math.round(this.runTimes.meanMs),
+      largest: this.largest(),
+    };
+  }
+
+  /**
+   * Waits for room at a target.
+   *
+   * @param work - What is to be sent.
+   * @param signal - Ends the wait; its reason is a DispatchError.
+   * @returns The slot, to be released.
+   * @throws DispatchError with `notRun`, at once when the wait would be in vain.
+   */
+  acquire(work: Work, signal: AbortSignal): Promise<Slot> {
+    this.admit(work);
+    const entry: QueueEntry = {
+      work,
+      queuedMs: this.opts.clock.now(),
+      costMs: this.runTimes.expectedMs(work.kind, work.declaredRunMs),
+      removed: false,
+    };
+    return new Promise((resolve, reject) => {
+      const abort = (): void => {
+        if (this.fairQueue.removeEntry(entry)) {
+          reject(signal.reason as Error);
+        }
+      };
+      if (signal.aborted) {
+        reject(signal.reason as Error);
+        return;
+      }
+      signal.addEventListener('abort', abort, {once: true});
+      void this.pqueue.add(
+        () => {
+          signal.removeEventListener('abort', abort);
+          entry.removed = true;
+          return this.start(entry, resolve);
+        },
+        {entry} as never,
+      );
+    });
+  }
+
+  /** Looks again for work that can start, after room was found. */
+  wake(): void {
+    this.recount();
+    this.pqueue.concurrency = Number.POSITIVE_INFINITY;
+  }
+
+  /** Refuses work that could not be answered in time, before it waits. */
+  private admit(work: Work): void {
+    const {policy} = this.opts;
+    if (work.needs && !this.couldHold(work.needs)) {
+      throw DispatchError.notRun(
+        'neverFits',
+        'no worker is large enough for this task',
+      );
+    }
+    if (this.slots === 0) {
+      throw DispatchError.notRun(
+        'noTargets',
+        `no target of ${work.service} is ready here`,
+      );
+    }
+    const share =
+      policy.weightOf(work.kind) /
+      Math.max(policy.totalWeight(), policy.weightOf(work.kind));
+    const places = Math.max(
+      MIN_KIND_PLACES,
+      Math.floor(this.opts.maxWaiting * share),
+    );
+    if (this.fairQueue.waitingOf(work.kind) >= places) {
+      const retryAfterMs = Math.ceil(this.waitOf(work));
+      throw DispatchError.notRun('queueFull', `queue of ${work.kind} is full`, {
+        retryAfterMs,
+      });
+    }
+    if (this.open.size > 0 && this.fairQueue.waiting === 0) {
+      return;
+    }
+    const waitMs = this.waitOf(work);
+    const runMs = this.runTimes.expectedMs(work.kind, work.declaredRunMs);
+    if (waitMs + runMs > work.deadlineMs) {
+      throw DispatchError.notRun(
+        'deadline',
+        `would wait ${Math.round(waitMs)} ms, too long for its deadline`,
+        {retryAfterMs: Math.ceil(waitMs)},
+      );
+    }
+  }
+
+  private waitOf(work: Work): number {
+    const {policy} = this.opts;
+    const contending = new Set([...this.fairQueue.backlogged(), work.kind]);
+    const contendingWeight = [...contending].reduce(
+      (sum, k) => sum + policy.weightOf(k),
+      0,
+    );
+    return expectedWait({
+      ahead: this.fairQueue.waitingAhead(work.kind, work.urgency),
+      runMs: this.runTimes.expectedMs(work.kind, work.declaredRunMs),
+      slots: this.slots,
+      weight: policy.weightOf(work.kind),
+      contendingWeight,
+    });
+  }
+
+  private canStart(entry: QueueEntry): boolean {
+    if (!this.isWithinQuota(entry.work)) {
+      return false;
+    }
+    if (!entry.work.needs) {
+      return this.open.size > 0;
+    }
+    if (this.pick(entry)) {
+      return true;
+    }
+    this.reserveFor(entry);
+    return false;
+  }
+
+  private isWithinQuota(work: Work): boolean {
+    const {policy} = this.opts;
+    return (
+      isBelow(
+        this.teamBusy.get(work.team),
+        policy.teamFraction(work.team),
+        this.slots,
+      ) &&
+      isBelow(
+        this.callerBusy.get(work.caller),
+        policy.callerFraction(work.caller),
+        this.slots,
+      )
+    );
+  }
+
+  /** Keeps a worker free for a task that smaller ones would overtake for ever. */
+  private reserveFor(entry: QueueEntry): void {
+    const overdue = this.opts.clock.now() - entry.queuedMs > RESERVE_AFTER_MS;
+    if (!overdue || (this.reserved && !this.reserved.entry.removed)) {
+      return;
+    }
+    const large = this.targets().filter(record =>
+      fitsIn(entry.work.needs!, record.announcement.worker!.total),
+    );
+    const record = large.sort((a, b) => a.placed.cores - b.placed.cores)[0];
+    this.reserved = record && {record, entry};
+  }
+
+  private pick(entry: QueueEntry): TargetRecord | undefined {
+    let best: TargetRecord | undefined;
+    let bestScore = Infinity;
+    let seen = 0;
+    for (const record of this.open) {
+      if (++seen > CANDIDATES && best) {
+        break;
+      }
+      const score = this.scoreOf(record, entry);
+      if (score < bestScore) {
+        best = record;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  /** Lower is better; infinite when the entry doesn't fit. */
+  private scoreOf(record: TargetRecord, entry: QueueEntry): number {
+    const {worker, slots} = record.announcement;
+    const load = record.inFlight / slots;
+    const {needs} = entry.work;
+    if (!worker || !needs) {
+      return load;
+    }
+    if (this.isReservedForOther(record, entry)) {
+      return Infinity;
+    }
+    const free = freeResources(worker.total, worker.used, record.placed);
+    if (!fitsIn(needs, free)) {
+      return Infinity;
+    }
+    return load + RACK_PENALTY * this.jobTasksIn(worker.rack, entry.work);
+  }
+
+  private jobTasksIn(rack: string, work: Work): number {
+    return this.jobRacks.get(`${work.job} ${rack}`) ?? 0;
+  }
+
+  private isReservedForOther(record: TargetRecord, entry: QueueEntry): boolean {
+    if (!this.reserved || this.reserved.entry.removed) {
+      return false;
+    }
+    return this.reserved.record === record && this.reserved.entry !== entry;
+  }
+
+  private start(
+    entry: QueueEntry,
+    resolve: (slot: Slot) => void,
+  ): Promise<void> {
+    const record = this.pick(entry)!;
+    this.logPlacement(record, entry);
+    this.take(record, entry.work, 1);
+    return new Promise(done => {
+      let released = false;
+      const release = (): void => {
+        if (released) {
+          return;
+        }
+        released = true;
+        this.take(record, entry.work, -1);
+        done();
+      };
+      resolve({record, release});
+    });
+  }
+
+  /** Counts work as sent (1) or ended (-1) at a target. */
+  private take(record: TargetRecord, work: Work, sign: 1 | -1): void {
+    record.inFlight += sign;
+    if (work.needs) {
+      record.placed = addResources(record.placed, work.needs, sign);
+    }
+    if (work.job) {
+      addTo(
+        this.jobRacks,
+        `${work.job} ${record.announcement.worker?.rack}`,
+        sign,
+      );
+    }
+    addTo(this.teamBusy, work.team, sign);
+    addTo(this.callerBusy, work.caller, sign);
+    if (this.members.get(record.id) === record) {
+      this.busy += sign;
+      this.reopen(record);
+    }
+  }
+
+  private reopen(record: TargetRecord): void {
+    this.open.delete(record);
+    if (
+      record.inFlight < this.allowedOf(record) &&
+      record.busyUntilMs <= this.opts.clock.now()
+    ) {
+      this.open.add(record);
+    }
+  }
+
+  private allowedOf(record: TargetRecord): number {
+    return allowedSlots(
+      record.health,
+      record.announcement.slots,
+      this.tooManyEjected,
+    );
+  }
+
+  private recount(): void {
+    const records = this.targets();
+    const ejected = records.filter(r => r.health.kind === 'ejected').length;
+    this.tooManyEjected = ejected > records.length * MAX_EJECTED_PART;
+    this.slots = 0;
+    this.busy = 0;
+    for (const record of records) {
+      const allowed = this.allowedOf(record);
+      this.slots += allowed;
+      this.busy += Math.min(record.inFlight, allowed);
+      const isOpen = this.open.has(record);
+      const hasRoom =
+        record.inFlight < allowed &&
+        record.busyUntilMs <= this.opts.clock.now();
+      if (isOpen !== hasRoom) {
+        this.reopen(record);
+      }
+    }
+  }
+
+  private couldHold(needs: Resources): boolean {
+    return this.targets().some(
+      record =>
+        record.announcement.worker &&
+        fitsIn(needs, record.announcement.worker.total),
+    );
+  }
+
+  private largest(): PoolDigest['largest'] {
+    const totals = this.targets().flatMap(
+      r => r.announcement.worker?.total ?? [],
+    );
+    if (totals.length === 0) {
+      return undefined;
+    }
+    return {
+      cores: Math.max(...totals.map(t => t.cores)),
+      memoryMb: Math.max(...totals.map(t => t.memoryMb)),
+      accelerators: Math.max(...totals.map(t => t.accelerators)),
+    };
+  }
+
+  private logPlacement(record: TargetRecord, entry: QueueEntry): void {
+    const {log, clock, service} = this.opts;
+    if (!log.decisions) {
+      return;
+    }
+    const alternatives: string[] = [];
+    for (const other of this.open) {
+      if (alternatives.length === LOGGED_ALTERNATIVES) {
+        break;
+      }
+      if (other !== record) {
+        alternatives.push(
+          `${other.id}:${other.inFlight}/${other.announcement.slots}`,
+        );
+      }
+    }
+    log.emit('placed', {
+      requestId: entry.work.requestId,
+      service,
+      kind: entry.work.kind,
+      target: record.id,
+      load: `${record.inFlight}/${record.announcement.slots}`,
+      waitedMs: Math.round(clock.now() - entry.queuedMs),
+      open: this.open.size,
+      alternatives,
+    });
+  }
+}
+
+function isBelow(
+  busy: number | undefined,
+  fraction: number,
+  slots: number,
+): boolean {
+  return (
+    fraction >= 1 || (busy ?? 0) < Math.max(1, Math.floor(fraction * slots))
+  );
+}
+
+function addTo(counts: Map<string, number>, key: string, sign: 1 | -1): void {
+  const next = (counts.get(key) ?? 0) + sign;
+  if (next === 0) {
+    counts.delete(key);
+  } else {
+    counts.set(key, next);
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/run_times/run_times.ts
@@ -0,0 +1,82 @@
+import type {KindId} from '@papayarun/protocol';
+import type {Histogram} from 'hdr-histogram-js';
+import {build} from 'hdr-histogram-js';
+
+const SMOOTHING = 0.05;
+const MIN_SAMPLES_FOR_QUANTILE = 50;
+const SAMPLES_TO_HALVE_AT = 5_000;
+const HIGHEST_MS = 3_600_000;
+const DEFAULT_RUN_MS = 200;
+
+interface KindTimes {
+  meanMs: number;
+  histogram: Histogram;
+}
+
+/**
+ * Learned run times by kind of work.
+ *
+ * @description Measured times replace what callers declare once there are
+ * any. The histogram starts afresh after 5,000 samples, so that a change of
+ * behaviour is followed.
+ */
+export class RunTimes {
+  private readonly kinds = new Map<KindId, KindTimes>();
+  private overallMs = 0;
+
+  private constructor() {}
+
+  /**
+   * Makes an empty record.
+   *
+   * @returns The record.
+   * @example
+   * const times = RunTimes.create();
+   */
+  static create(): RunTimes {
+    return new RunTimes();
+  }
+
+  /** Learned mean over all kinds in milliseconds; 0 while unknown. */
+  get meanMs(): number {
+    return this.overallMs;
+  }
+
+  /** Records a measured run time. */
+  record(kind: KindId, runMs: number): void {
+    this.overallMs = smooth(this.overallMs, runMs);
+    let times = this.kinds.get(kind);
+    if (!times || times.histogram.totalCount >= SAMPLES_TO_HALVE_AT) {
+      const histogram = build({
+        bitBucketSize: 32,
+        highestTrackableValue: HIGHEST_MS,
+        numberOfSignificantValueDigits: 2,
+      });
+      times = {meanMs: times?.meanMs ?? 0, histogram};
+      this.kinds.set(kind, times);
+    }
+    times.meanMs = smooth(times.meanMs, runMs);
+    times.histogram.recordValue(
+      Math.min(HIGHEST_MS, Math.max(1, Math.round(runMs))),
+    );
+  }
+
+  /** Expected run time: learned, else over all kinds, else declared. */
+  expectedMs(kind: KindId, declaredMs?: number): number {
+    const learned = this.kinds.get(kind)?.meanMs ?? this.overallMs;
+    return learned || declaredMs || DEFAULT_RUN_MS;
+  }
+
+  /** Learned quantile in milliseconds, or undefined with few samples. */
+  quantileMs(kind: KindId, percentile: number): number | undefined {
+    const histogram = this.kinds.get(kind)?.histogram;
+    if (!histogram || histogram.totalCount < MIN_SAMPLES_FOR_QUANTILE) {
+      return undefined;
+    }
+    return histogram.getValueAtPercentile(percentile);
+  }
+}
+
+function smooth(meanMs: number, sampleMs: number): number {
+  return meanMs === 0 ? sampleMs : meanMs + SMOOTHING * (sampleMs - meanMs);
+}
--- /dev/null
+++ b/packages/membership/src/_lib/parse_frame.test.ts
@@ -0,0 +1,42 @@
+import {encodeMessage} from '@papayarun/protocol';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {parseFrame} from './parse_frame.js';
+
+describe('parseFrame', () => {
+  it('reads each kind of frame', () => {
+    const frames = [
+      {f: 'call', id: 1, type: 'vote', body: {term: 2}},
+      {f: 'reply', id: 1, body: null},
+      {f: 'fail', id: 1, message: 'no'},
+      {f: 'note', type: 'heartbeat', body: [1]},
+    ];
+    for (const frame of frames) {
+      expect(parseFrame(encodeMessage(frame))).toEqual(frame);
+    }
+  });
+
+  it('throws an Error on any other bytes and never anything else', () => {
+    fc.assert(
+      fc.property(fc.uint8Array({maxLength: 200}), bytes => {
+        try {
+          const frame = parseFrame(bytes);
+          expect(['call', 'reply', 'fail', 'note']).toContain(frame.f);
+        } catch (err) {
+          expect(err).toBeInstanceOf(Error);
+        }
+      }),
+      {seed: 5, numRuns: 5_000},
+    );
+  });
+
+  it('throws on encoded data of another shape', () => {
+    fc.assert(
+      fc.property(fc.json(), text => {
+        const bytes = encodeMessage(JSON.parse(text));
+        expect(() => parseFrame(bytes)).toThrow('frame');
+      }),
+      {seed: 6},
+    );
+  });
+});
--- /dev/null
+++ b/packages/membership/src/ws_peer_network/peer_link.ts
@@ -0,0 +1,178 @@
+import type {InstanceId} from '@papayarun/protocol';
+import {encodeMessage, PeerCallError} from '@papayarun/protocol';
+import type {WebSocket} from 'ws';
+import type {Frame} from '../_lib/frame.js';
+import {parseFrame} from '../_lib/parse_frame.js';
+import type {LinkObserver} from './link_observer.js';
+
+interface PendingCall {
+  readonly resolve: (body: unknown) => void;
+  readonly reject: (err: Error) => void;
+}
+
+/**
+ * One authenticated link to a peer.
+ */
+export class PeerLink {
+  private readonly pending = new Map<number, PendingCall>();
+  private nextId = 1;
+  /** When the last frame came, by the clock of the network. */
+  lastHeardMs: number;
+
+  private constructor(
+    readonly peer: InstanceId,
+    private readonly socket: WebSocket,
+    private readonly observer: LinkObserver,
+    private readonly maxBufferedBytes: number,
+    private readonly now: () => number,
+  ) {
+    this.lastHeardMs = now();
+  }
+
+  /**
+   * Takes over a socket after the handshake.
+   *
+   * @param peer - Instance at the other end.
+   * @param socket - Open socket.
+   * @param observer - Receives what is sent.
+   * @param maxBufferedBytes - Unsent bytes from which calls are refused.
+   * @param now - Monotonic clock in milliseconds.
+   * @returns The link.
+   * @example
+   * const link = PeerLink.create(peer, socket, observer, 1 << 20, now);
+   */
+  static create(
+    peer: InstanceId,
+    socket: WebSocket,
+    observer: LinkObserver,
+    maxBufferedBytes: number,
+    now: () => number,
+  ): PeerLink {
+    return new PeerLink(peer, socket, observer, maxBufferedBytes, now);
+  }
+
+  /**
+   * Reads frames until the link closes.
+   *
+   * @param handle - Serves calls and notices.
+   * @returns The reason of the close.
+   */
+  run(handle: (link: PeerLink, frame: Frame) => void): Promise<string> {
+    return new Promise(resolve => {
+      this.socket.on('message', (data: Buffer) => {
+        this.lastHeardMs = this.now();
+        try {
+          this.receive(parseFrame(data), handle);
+        } catch (err) {
+          this.socket.close(1002, 'bad frame');
+          resolve((err as Error).message);
+        }
+      });
+      this.socket.on('error', err => resolve(err.message));
+      this.socket.on('close', code => {
+        this.failPending();
+        resolve(`closed with code ${code}`);
+      });
+    });
+  }
+
+  call(
+    type: string,
+    body: unknown,
+    timeoutMs: number,
+    signal?: AbortSignal,
+  ): Promise<unknown> {
+    if (!this.isOpen()) {
+      return Promise.reject(
+        PeerCallError.create(false, `no link to ${this.peer}`),
+      );
+    }
+    if (this.socket.bufferedAmount > this.maxBufferedBytes) {
+      return Promise.reject(
+        PeerCallError.create(false, `link to ${this.peer} is congested`),
+      );
+    }
+    const id = this.nextId++;
+    return new Promise((resolve, reject) => {
+      const settle = (): void => {
+        clearTimeout(timer);
+        signal?.removeEventListener('abort', abort);
+        this.pending.delete(id);
+      };
+      const fail = (message: string): void => {
+        settle();
+        reject(PeerCallError.create(true, message));
+      };
+      const abort = (): void =>
+        fail(`call ${type} to ${this.peer} was cancelled`);
+      const timer = setTimeout(
+        () => fail(`call ${type} to ${this.peer} timed out`),
+        timeoutMs,
+      );
+      signal?.addEventListener('abort', abort);
+      this.pending.set(id, {
+        resolve: value => {
+          settle();
+          resolve(value);
+        },
+        reject: err => {
+          settle();
+          reject(err);
+        },
+      });
+      this.send({f: 'call', id, type, body}, type);
+    });
+  }
+
+  send(frame: Frame, type: string): void {
+    if (!this.isOpen()) {
+      return;
+    }
+    const bytes = encodeMessage(frame);
+    this.observer.sent(type, bytes.length);
+    this.socket.send(bytes);
+  }
+
+  /** Whether there is room for one-way messages. */
+  hasRoom(): boolean {
+    return this.isOpen() && this.socket.bufferedAmount <= this.maxBufferedBytes;
+  }
+
+  close(): void {
+    this.socket.terminate();
+  }
+
+  private isOpen(): boolean {
+    return this.socket.readyState === this.socket.OPEN;
+  }
+
+  private receive(
+    frame: Frame,
+    handle: (link: PeerLink, frame: Frame) => void,
+  ): void {
+    switch (frame.f) {
+      case 'reply':
+        this.pending.get(frame.id)?.resolve(frame.body);
+        return;
+      case 'fail':
+        this.pending
+          .get(frame.id)
+          ?.reject(
+            PeerCallError.create(true, `${this.peer}: ${frame.message}`),
+          );
+        return;
+      case 'call':
+      case 'note':
+        handle(this, frame);
+        return;
+      default:
+        frame satisfies never;
+    }
+  }
+
+  private failPending(): void {
+    for (const call of [...this.pending.values()]) {
+      call.reject(PeerCallError.create(true, `link to ${this.peer} was lost`));
+    }
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/ids/note_id.ts
@@ -0,0 +1,6 @@
+import type {Brand} from '../brand/brand.js';
+
+/**
+ * Idempotency key of a release note, chosen by the operator.
+ */
+export type NoteId = Brand<string, 'NoteId'>;
--- /dev/null
+++ b/packages/protocol/src/ids/service_id.ts
@@ -0,0 +1,6 @@
+import type {Brand} from '../brand/brand.js';
+
+/**
+ * Name of a service that targets offer.
+ */
+export type ServiceId = Brand<string, 'ServiceId'>;
--- /dev/null
+++ b/packages/protocol/src/ids/team_id.ts
@@ -0,0 +1,6 @@
+import type {Brand} from '../brand/brand.js';
+
+/**
+ * Name of a team (tenant) with a quota.
+ */
+export type TeamId = Brand<string, 'TeamId'>;
--- /dev/null
+++ b/packages/protocol/src/job/job_view.ts
@@ -0,0 +1,21 @@
+import type {JobId} from '../ids/job_id.js';
+import type {Refusal} from '../refusal/refusal.js';
+
+/**
+ * A job as callers see it: its answers are all there or none is.
+ */
+export type JobView =
+  | {
+      readonly state: 'running';
+      readonly id: JobId;
+      readonly tasks: number;
+      readonly finished: number;
+    }
+  | {
+      readonly state: 'complete';
+      readonly id: JobId;
+      readonly release: number;
+      /** One answer a task, in the order of submission. */
+      readonly answers: readonly unknown[];
+    }
+  | {readonly state: 'failed'; readonly id: JobId; readonly refusal: Refusal};
--- /dev/null
+++ b/packages/protocol/src/messages/heartbeat.ts
@@ -0,0 +1,17 @@
+import type {BootId} from '../ids/boot_id.js';
+import type {DataCentreId} from '../ids/data_centre_id.js';
+import type {InstanceDigest} from '../digest/instance_digest.js';
+
+/**
+ * Periodic message that shows an instance to be alive.
+ */
+export interface Heartbeat {
+  readonly boot: BootId;
+  readonly dataCentre: DataCentreId;
+  readonly state: 'starting' | 'ready' | 'draining';
+  /** Index of the last command of the release log that it has applied. */
+  readonly stateIndex: number;
+  /** Milliseconds since that state was known to be the latest. */
+  readonly currentAgeMs: number;
+  readonly digest: InstanceDigest;
+}
--- /dev/null
+++ b/packages/protocol/src/messages/replica_set.ts
@@ -0,0 +1,10 @@
+import type {ReplicaRef} from './replica_ref.js';
+
+/**
+ * Members of the replicated log.
+ */
+export interface ReplicaSet {
+  readonly voters: readonly ReplicaRef[];
+  /** Replicas that receive the log and don't count for a quorum. */
+  readonly learners: readonly ReplicaRef[];
+}
--- /dev/null
+++ b/packages/protocol/src/messages/vote_call.ts
@@ -0,0 +1,16 @@
+import type {ReplicaId} from '../ids/replica_id.js';
+
+/**
+ * Asks a replica for its vote, or whether it would give it (pre-vote).
+ */
+export interface VoteCall {
+  readonly req: {
+    readonly to: ReplicaId;
+    readonly candidate: ReplicaId;
+    readonly pre: boolean;
+    readonly term: number;
+    readonly lastIndex: number;
+    readonly lastTerm: number;
+  };
+  readonly res: {readonly term: number; readonly granted: boolean};
+}
--- /dev/null
+++ b/packages/releases/src/apply_command/apply_command.test.ts
@@ -0,0 +1,203 @@
+import type {
+  BootId,
+  DataCentreId,
+  InstanceId,
+  NoteId,
+} from '@papayarun/protocol';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import type {ControlCommand} from '../command/control_command.js';
+import type {ControlState} from '../control_state/control_state.js';
+import {EMPTY_CONTROL_STATE} from '../control_state/empty_control_state.js';
+import type {NoteVerdict} from '../note/note_verdict.js';
+import type {ReleaseNote} from '../note/release_note.js';
+import {resolveBehaviours} from '../resolve_behaviours/resolve_behaviours.js';
+import {applyCommand} from './apply_command.js';
+
+const CENTRO = 'centro' as DataCentreId;
+
+function noteCommand(
+  noteId: string,
+  base: number,
+  parts: Partial<ReleaseNote>,
+): ControlCommand {
+  const note: ReleaseNote = {
+    noteId: noteId as NoteId,
+    base,
+    added: {},
+    changed: {},
+    withdrawn: [],
+    ...parts,
+  };
+  return {kind: 'applyNote', note, fingerprint: JSON.stringify(note), atMs: 0};
+}
+
+function apply(
+  state: ControlState,
+  command: ControlCommand,
+): {state: ControlState; verdict: NoteVerdict} {
+  const applied = applyCommand(state, command);
+  if (applied.result.kind !== 'note') {
+    throw new Error(applied.result.kind);
+  }
+  return {state: applied.state, verdict: applied.result.verdict};
+}
+
+function member(
+  instanceId: string,
+  boot: string,
+): {instanceId: InstanceId; boot: BootId} {
+  return {instanceId: instanceId as InstanceId, boot: boot as BootId};
+}
+
+describe('applyCommand with release notes', () => {
+  it('accepts exactly one of notes that race on the same base', () => {
+    const names = ['a', 'b', 'c'];
+    let state = EMPTY_CONTROL_STATE;
+    const verdicts = names.map(name => {
+      const applied = apply(
+        state,
+        noteCommand(name, 0, {added: {[`behaviour:${name}`]: 1}}),
+      );
+      state = applied.state;
+      return applied.verdict.kind;
+    });
+    expect(verdicts).toEqual(['accepted', 'conflict', 'conflict']);
+    expect(state.release).toBe(1);
+  });
+
+  it('gives a note sent again its first verdict, whatever came between', () => {
+    const ids = fc.array(fc.constantFrom('a', 'b', 'c', 'd'), {
+      minLength: 1,
+      maxLength: 30,
+    });
+    fc.assert(
+      fc.property(
+        ids,
+        fc.array(fc.nat(4), {minLength: 30, maxLength: 30}),
+        (order, bases) => {
+          const first = new Map<string, {base: number; verdict: NoteVerdict}>();
+          let state = EMPTY_CONTROL_STATE;
+          order.forEach((id, i) => {
+            const base = first.get(id)?.base ?? bases[i]!;
+            const command = noteCommand(id, base, {
+              added: {[`behaviour:x${id}`]: i % 1},
+            });
+            const before = state.release;
+            const applied = apply(state, command);
+            state = applied.state;
+            expect(state.release).toBeGreaterThanOrEqual(before);
+            const known = first.get(id);
+            if (known) {
+              expect(applied.verdict).toEqual(known.verdict);
+              expect(state.release).toBe(before);
+            }
+            first.set(id, known ?? {base, verdict: applied.verdict});
+          });
+        },
+      ),
+      {seed: 12},
+    );
+  });
+
+  it('refuses a used note id with other content', () => {
+    const {state} = apply(
+      EMPTY_CONTROL_STATE,
+      noteCommand('a', 0, {added: {'behaviour:x': 1}}),
+    );
+    const again = apply(
+      state,
+      noteCommand('a', 1, {added: {'behaviour:y': 1}}),
+    );
+    expect(again.verdict).toMatchObject({kind: 'conflict'});
+    expect(again.state).toBe(state);
+  });
+
+  it('does not bring an old value back when a withdrawn name is added again', () => {
+    let {state} = apply(
+      EMPTY_CONTROL_STATE,
+      noteCommand('a', 0, {added: {'behaviour:x': 'old'}}),
+    );
+    const chosen = {
+      kind: 'setPreferences',
+      customer: 'guest',
+      choices: {'behaviour:x': 'mine'},
+    } as const;
+    state = applyCommand(state, chosen).state;
+    expect(resolveBehaviours(state, 'guest')).toEqual({x: 'mine'});
+    ({state} = apply(state, noteCommand('b', 1, {withdrawn: ['behaviour:x']})));
+    expect(resolveBehaviours(state, 'guest')).toEqual({});
+    ({state} = apply(
+      state,
+      noteCommand('c', 2, {added: {'behaviour:x': 'new'}}),
+    ));
+    expect(resolveBehaviours(state, 'guest')).toEqual({x: 'new'});
+  });
+});
+
+describe('applyCommand with claim views', () => {
+  const first: ControlCommand = {
+    kind: 'setView',
+    dataCentre: CENTRO,
+    fromEpoch: 0,
+    members: [member('centro-1', 'a'), member('centro-2', 'b')],
+  };
+
+  it('keeps the generation while a member stays, and gives a rejoining one a later seat', () => {
+    let {state} = applyCommand(EMPTY_CONTROL_STATE, first);
+    const change = (
+      fromEpoch: number,
+      members: Array<ReturnType<typeof member>>,
+    ): void => {
+      ({state} = applyCommand(state, {
+        kind: 'setView',
+        dataCentre: CENTRO,
+        fromEpoch,
+        members,
+      }));
+    };
+    change(1, [member('centro-1', 'a')]);
+    change(2, [member('centro-1', 'a'), member('centro-2', 'b')]);
+    expect(state.views[CENTRO]).toMatchObject({
+      epoch: 3,
+      generation: 1,
+      members: [
+        {instanceId: 'centro-1', since: 1},
+        {instanceId: 'centro-2', since: 3},
+      ],
+    });
+  });
+
+  it('resets only when every old member has another boot id', () => {
+    const {state} = applyCommand(EMPTY_CONTROL_STATE, first);
+    const reset = (replaced: Array<ReturnType<typeof member>>): ControlState =>
+      applyCommand(state, {
+        kind: 'setView',
+        dataCentre: CENTRO,
+        fromEpoch: 1,
+        members: [member('centro-1', 'z')],
+        reset: {replaced, byOperator: false},
+      }).state;
+    expect(reset([member('centro-1', 'z')])).toBe(state);
+    expect(reset([member('centro-1', 'z'), member('centro-2', 'b')])).toBe(
+      state,
+    );
+    const done = reset([member('centro-1', 'z'), member('centro-2', 'y')]);
+    expect(done.views[CENTRO]).toMatchObject({epoch: 2, generation: 2});
+  });
+
+  it('accepts one of changes that race on the same epoch', () => {
+    const {state} = applyCommand(EMPTY_CONTROL_STATE, first);
+    const won = applyCommand(state, {
+      ...first,
+      fromEpoch: 1,
+      members: [member('centro-1', 'a')],
+    });
+    const lost = applyCommand(won.state, {
+      ...first,
+      fromEpoch: 1,
+      members: [member('centro-2', 'b')],
+    });
+    expect(lost.state).toBe(won.state);
+  });
+});
--- /dev/null
+++ b/packages/releases/src/command/control_command.ts
@@ -0,0 +1,31 @@
+import type {DataCentreId} from '@papayarun/protocol';
+import type {ViewMember} from '../claim_view/view_member.js';
+import type {ReleaseNote} from '../note/release_note.js';
+
+/**
+ * A command of the replicated log.
+ */
+export type ControlCommand =
+  | {
+      readonly kind: 'applyNote';
+      readonly note: ReleaseNote;
+      readonly fingerprint: string;
+      readonly atMs: number;
+    }
+  | {
+      readonly kind: 'setView';
+      readonly dataCentre: DataCentreId;
+      readonly fromEpoch: number;
+      readonly members: readonly ViewMember[];
+      /** New incarnations of all old members, or an operator's word. */
+      readonly reset?: {
+        readonly replaced: readonly ViewMember[];
+        readonly byOperator: boolean;
+      };
+    }
+  | {
+      readonly kind: 'setPreferences';
+      readonly customer: string;
+      /** Chosen value by behaviour name; null drops the choice. */
+      readonly choices: Readonly<Record<string, unknown>>;
+    };
--- /dev/null
+++ b/packages/releases/src/command/control_result.ts
@@ -0,0 +1,14 @@
+import type {ClaimView} from '../claim_view/claim_view.js';
+import type {NoteVerdict} from '../note/note_verdict.js';
+
+/**
+ * Result of a command of the replicated log.
+ */
+export type ControlResult =
+  | {readonly kind: 'note'; readonly verdict: NoteVerdict}
+  | {
+      readonly kind: 'view';
+      readonly accepted: boolean;
+      readonly view: ClaimView | undefined;
+    }
+  | {readonly kind: 'preferences'; readonly unknown: readonly string[]};
--- /dev/null
+++ b/packages/releases/src/control_state/control_state.ts
@@ -0,0 +1,27 @@
+import type {ClaimView} from '../claim_view/claim_view.js';
+import type {NoteVerdict} from '../note/note_verdict.js';
+import type {AcceptedNote} from './accepted_note.js';
+import type {ReleaseEntry} from './release_entry.js';
+
+/**
+ * All that the replicated log decides; equal at equal indices everywhere.
+ */
+export interface ControlState {
+  readonly release: number;
+  readonly entries: Readonly<Record<string, ReleaseEntry>>;
+  /** Release that withdrew a name which is not in force now. */
+  readonly tombstones: Readonly<Record<string, number>>;
+  /** Verdicts by note id, the oldest first. */
+  readonly verdicts: ReadonlyArray<{
+    readonly noteId: string;
+    readonly fingerprint: string;
+    readonly verdict: NoteVerdict;
+  }>;
+  /** Latest accepted notes, the oldest first. */
+  readonly history: readonly AcceptedNote[];
+  readonly views: Readonly<Record<string, ClaimView>>;
+  /** Choices by customer, then by behaviour name. */
+  readonly customers: Readonly<
+    Record<string, Readonly<Record<string, ReleaseEntry>>>
+  >;
+}
--- /dev/null
+++ b/packages/releases/src/note/parse_note.ts
@@ -0,0 +1,114 @@
+import {DispatchError} from '@papayarun/protocol';
+import type {NoteId} from '@papayarun/protocol';
+import {z} from 'zod';
+import {ENTRY_NAME_PATTERN} from '../entry/entry_name_pattern.js';
+import {entrySchemas} from '../entry/entry_schema.js';
+import type {NoteProblem} from './note_problem.js';
+import type {ReleaseNote} from './release_note.js';
+
+const MAX_ENTRIES = 1_000;
+const MAX_NOTE_ID_LENGTH = 64;
+
+const noteSchema = z.strictObject({
+  noteId: z
+    .string()
+    .regex(
+      /^[A-Za-z0-9_.-]+$/,
+      'expected letters, digits, dots, dashes or underscores',
+    )
+    .max(MAX_NOTE_ID_LENGTH),
+  base: z.number().int().min(0),
+  added: z.record(z.string(), z.json()).default({}),
+  changed: z.record(z.string(), z.json()).default({}),
+  withdrawn: z.array(z.string()).default([]),
+});
+
+/**
+ * Checks a release note.
+ *
+ * @description All problems are reported at once, each with its JSON path.
+ * @param document - Parsed JSON.
+ * @returns The note.
+ * @throws DispatchError with `notRun`, naming every problem.
+ * @example
+ * const note = parseNote(JSON.parse(text));
+ */
+export function parseNote(document: unknown): ReleaseNote {
+  const result = noteSchema.safeParse(document);
+  if (!result.success) {
+    throw refuse(
+      result.error.issues.map(issue => ({
+        path: ['$', ...issue.path].join('.'),
+        message: issue.message,
+      })),
+    );
+  }
+  const note = {...result.data, noteId: result.data.noteId as NoteId};
+  const problems = [
+    ...problemsOfValues('added', note.added),
+    ...problemsOfValues('changed', note.changed),
+    ...problemsOfNames(note),
+  ];
+  if (problems.length > 0) {
+    throw refuse(problems);
+  }
+  return note;
+}
+
+function problemsOfValues(
+  part: 'added' | 'changed',
+  values: Readonly<Record<string, unknown>>,
+): NoteProblem[] {
+  return Object.entries(values).flatMap(([name, value]) => {
+    const path = `$.${part}["${name}"]`;
+    const category = ENTRY_NAME_PATTERN.exec(name)?.[1] as
+      keyof typeof entrySchemas | undefined;
+    if (!category) {
+      return [
+        {
+          path,
+          message: 'expected a name kind|team|caller|service|behaviour:name',
+        },
+      ];
+    }
+    const result = entrySchemas[category].safeParse(value);
+    return result.success
+      ? []
+      : result.error.issues.map(issue => ({
+          path: [path, ...issue.path].join('.'),
+          message: issue.message,
+        }));
+  });
+}
+
+function problemsOfNames(note: ReleaseNote): NoteProblem[] {
+  const names = [
+    ...Object.keys(note.added),
+    ...Object.keys(note.changed),
+    ...note.withdrawn,
+  ];
+  const problems = names
+    .filter((name, i) => names.indexOf(name) !== i)
+    .map(name => ({
+      path: `$..["${name}"]`,
+      message: 'expected each name once in a note',
+    }));
+  if (names.length === 0) {
+    problems.push({
+      path: '$',
+      message: 'expected at least one entry added, changed or withdrawn',
+    });
+  }
+  if (names.length > MAX_ENTRIES) {
+    problems.push({
+      path: '$',
+      message: `expected at most ${MAX_ENTRIES} entries`,
+    });
+  }
+  return problems;
+}
+
+function refuse(problems: readonly NoteProblem[]): DispatchError {
+  const text = problems.map(p => `${p.path}: ${p.message}`).join('; ');
+  return DispatchError.notRun('badRequest', text, {field: problems[0]!.path});
+}
--- /dev/null
+++ b/packages/settings/src/schema/listener_schema.ts
@@ -0,0 +1,11 @@
+import {z} from 'zod';
+
+const MAX_PORT = 65_535;
+
+/**
+ * Schema of an address to listen on; port 0 lets the system choose.
+ */
+export const listenerSchema = z.strictObject({
+  host: z.union([z.ipv4(), z.ipv6()]),
+  port: z.number().int().min(0).max(MAX_PORT),
+});
--- /dev/null
+++ b/packages/stand_ins/src/cluster/cluster.ts
@@ -0,0 +1,268 @@
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {DaemonProcess} from '../daemon_process/daemon_process.js';
+import type {HttpResult} from '../http_call/http_call.js';
+import {httpCall} from '../http_call/http_call.js';
+import {Relay} from '../relay/relay.js';
+import type {RelayMode} from '../relay/relay.js';
+import {waitUntil} from '../wait_until/wait_until.js';
+import type {ClusterMember} from './cluster_member.js';
+
+const OPERATOR_KEY = 'operator-key-of-the-stand-ins';
+const PEER_KEY = 'peer-key-of-the-stand-ins';
+const READY_TIMEOUT_MS = 20_000;
+
+/** Settings that differ from the defaults, by section. */
+export interface ClusterSettings {
+  readonly timing?: Readonly<Record<string, number>>;
+  readonly limits?: Readonly<Record<string, number>>;
+  readonly log?: Readonly<Record<string, unknown>>;
+}
+
+/**
+ * Real daemon processes whose links run through relays.
+ */
+export class Cluster {
+  readonly daemons = new Map<string, DaemonProcess>();
+  private readonly relays = new Map<string, Relay>();
+
+  private constructor(
+    readonly folder: string,
+    readonly members: readonly ClusterMember[],
+    private readonly settings: ClusterSettings,
+  ) {}
+
+  /**
+   * Prepares settings, keys and relays; starts nothing.
+   *
+   * @param members - Instances.
+   * @param settings - Settings that differ from the defaults.
+   * @returns The cluster.
+   * @example
+   * const cluster = await Cluster.create(members, {});
+   */
+  static async create(
+    members: readonly ClusterMember[],
+    settings: ClusterSettings,
+  ): Promise<Cluster> {
+    const folder = await mkdtemp(join(tmpdir(), 'papayarun-'));
+    const cluster = new Cluster(folder, members, settings);
+    await writeFile(join(folder, 'operator.key'), OPERATOR_KEY);
+    await writeFile(join(folder, 'peer.key'), PEER_KEY);
+    for (const near of members) {
+      for (const far of members) {
+        if (near.id < far.id) {
+          const relay = await Relay.create(
+            () => cluster.daemons.get(far.id)?.ports.peersPort,
+          );
+          cluster.relays.set(`${near.id} ${far.id}`, relay);
+        }
+      }
+    }
+    return cluster;
+  }
+
+  /** Starts all instances, forms the release log and waits until all are ready. */
+  async startAll(): Promise<void> {
+    await Promise.all(this.members.map(member => this.start(member.id)));
+    await waitUntil('the release log is formed', READY_TIMEOUT_MS, async () => {
+      const res = await this.operate(
+        this.members[0]!.id,
+        'POST',
+        '/v1/cluster',
+      );
+      return res.status === 200;
+    });
+    await this.allReady();
+  }
+
+  /** Waits until all running instances are ready and their views are complete. */
+  async allReady(): Promise<void> {
+    for (const id of this.daemons.keys()) {
+      await this.ready(id);
+    }
+  }
+
+  /** Waits until an instance is ready and holds its seat in the claim view. */
+  async ready(id: string): Promise<void> {
+    await waitUntil(`${id} is ready`, READY_TIMEOUT_MS, async () => {
+      const status = await this.status(id);
+      const {dataCentre} = this.member(id);
+      const here = this.members.filter(m => m.dataCentre === dataCentre);
+      const running = here.filter(m => this.daemons.has(m.id)).length;
+      const view = status['view'] as {members: unknown[]} | undefined;
+      return (
+        status['state'] === 'ready' &&
+        status['seat'] === 'synced' &&
+        view?.members.length === running
+      );
+    });
+  }
+
+  /** Starts one instance. */
+  async start(id: string): Promise<DaemonProcess> {
+    const path = join(this.folder, `${id}.json`);
+    await writeFile(
+      path,
+      JSON.stringify(this.settingsOf(this.member(id)), null, 2),
+    );
+    const daemon = await DaemonProcess.create(path);
+    this.daemons.set(id, daemon);
+    return daemon;
+  }
+
+  /** Kills an instance without warning. */
+  async kill(id: string): Promise<void> {
+    const daemon = this.daemon(id);
+    this.daemons.delete(id);
+    await daemon.kill();
+    this.dropLinks(id);
+  }
+
+  /** Ends an instance by SIGTERM; gives its exit code. */
+  async terminate(id: string): Promise<number | null | undefined> {
+    const daemon = this.daemon(id);
+    daemon.signal('SIGTERM');
+    await daemon.ended();
+    this.daemons.delete(id);
+    return daemon.exitCode;
+  }
+
+  /** Deletes an instance's data folder, as when its disk is lost. */
+  async loseDisk(id: string): Promise<void> {
+    await rm(this.dataDirOf(id), {recursive: true, force: true});
+  }
+
+  dataDirOf(id: string): string {
+    return join(this.folder, 'data', id);
+  }
+
+  daemon(id: string): DaemonProcess {
+    const daemon = this.daemons.get(id);
+    if (!daemon) {
+      throw new Error(`${id} is not running`);
+    }
+    return daemon;
+  }
+
+  /** Sets what the link between two instances does. */
+  setLink(a: string, b: string, mode: RelayMode): void {
+    const relay = this.relays.get(a < b ? `${a} ${b}` : `${b} ${a}`)!;
+    const wasCut = relay.mode !== 'pass';
+    relay.mode = mode;
+    if (mode === 'pass' && wasCut) {
+      relay.dropConnections();
+    }
+  }
+
+  /** Sets what all links between two groups do. */
+  setLinks(group: readonly string[], mode: RelayMode): void {
+    for (const inside of group) {
+      for (const {id} of this.members) {
+        if (!group.includes(id)) {
+          this.setLink(inside, id, mode);
+        }
+      }
+    }
+  }
+
+  callersPort(id: string): number {
+    return this.daemon(id).ports.callersPort;
+  }
+
+  /** Ports of all running instances for callers and targets. */
+  callersPorts(dataCentre?: string): number[] {
+    return this.members
+      .filter(m => dataCentre === undefined || m.dataCentre === dataCentre)
+      .flatMap(m => this.daemons.get(m.id)?.ports.callersPort ?? []);
+  }
+
+  /** Calls the operators' interface of an instance. */
+  operate(
+    id: string,
+    method: string,
+    path: string,
+    body?: unknown,
+  ): Promise<HttpResult> {
+    return httpCall({
+      port: this.daemon(id).ports.operatorsPort,
+      method,
+      path,
+      headers: {
+        authorization: `Bearer ${OPERATOR_KEY}`,
+        'content-type': 'application/json',
+      },
+      body: body === undefined ? undefined : JSON.stringify(body),
+      timeoutMs: 15_000,
+    });
+  }
+
+  async status(id: string): Promise<Record<string, unknown>> {
+    const res = await this.operate(id, 'GET', '/v1/status');
+    return JSON.parse(res.text) as Record<string, unknown>;
+  }
+
+  /** Prefix for idempotency keys homed at an instance's data centre. */
+  async idPrefix(id: string): Promise<string> {
+    const res = await httpCall({
+      port: this.callersPort(id),
+      method: 'GET',
+      path: '/v1/id-prefix',
+    });
+    const {prefix} = JSON.parse(res.text) as {prefix?: string};
+    if (prefix === undefined) {
+      throw new Error(res.text);
+    }
+    return prefix;
+  }
+
+  /** Kills what runs and deletes all files. */
+  async close(): Promise<void> {
+    await Promise.all([...this.daemons.values()].map(daemon => daemon.kill()));
+    this.daemons.clear();
+    await Promise.all([...this.relays.values()].map(relay => relay.close()));
+    await rm(this.folder, {recursive: true, force: true});
+  }
+
+  private dropLinks(id: string): void {
+    for (const [pair, relay] of this.relays) {
+      if (pair.split(' ').includes(id)) {
+        relay.dropConnections();
+      }
+    }
+  }
+
+  private member(id: string): ClusterMember {
+    const member = this.members.find(m => m.id === id);
+    if (!member) {
+      throw new Error(`no member ${id}`);
+    }
+    return member;
+  }
+
+  private settingsOf(self: ClusterMember): Record<string, unknown> {
+    const listener = {host: '127.0.0.1', port: 0};
+    const members = this.members.map(m => ({
+      instanceId: m.id,
+      dataCentre: m.dataCentre,
+      host: '127.0.0.1',
+      port: m.id === self.id ? 1 : this.relayPort(self.id, m.id),
+      replica: m.replica,
+    }));
+    return {
+      instanceId: self.id,
+      dataCentre: self.dataCentre,
+      region: 'vale-sul',
+      callers: listener,
+      operators: {...listener, keyFile: join(this.folder, 'operator.key')},
+      peers: {...listener, keyFile: join(this.folder, 'peer.key'), members},
+      ...(self.replica ? {dataDir: this.dataDirOf(self.id)} : {}),
+      ...this.settings,
+    };
+  }
+
+  private relayPort(a: string, b: string): number {
+    return this.relays.get(a < b ? `${a} ${b}` : `${b} ${a}`)!.port;
+  }
+}
