--- /dev/null
+++ b/packages/cli/src/check_settings_command/check_settings_command.ts
@@ -0,0 +1,42 @@
+import {parseSettings, SettingsError} from '@papayarun/settings';
+import {defineCommand} from 'citty';
+import {jsonArg} from '../_lib/common_args.js';
+import {EXIT_CODE} from '../_lib/exit_code.js';
+import {readInput} from '../_lib/read_input.js';
+
+/**
+ * `papayarun check-settings FILE`
+ */
+export const checkSettingsCommand = defineCommand({
+  meta: {name: 'check-settings', description: 'Check a settings file.'},
+  args: {
+    ...jsonArg,
+    file: {
+      type: 'positional',
+      description: 'Settings file, or -.',
+      required: true,
+    },
+  },
+  run: async ({args}) => {
+    const text = await readInput(args.file);
+    try {
+      const cfg = parseSettings(text);
+      process.stdout.write(
+        args.json
+          ? `${JSON.stringify(cfg, null, 2)}\n`
+          : 'settings are valid\n',
+      );
+    } catch (err) {
+      if (!(err instanceof SettingsError)) {
+        throw err;
+      }
+      process.exitCode = EXIT_CODE.usage;
+      const {problems} = err;
+      process.stdout.write(
+        args.json
+          ? `${JSON.stringify({problems}, null, 2)}\n`
+          : `${err.message}\n`,
+      );
+    }
+  },
+});
--- a/packages/dispatch/src/keeper/keeper.ts
+++ b/packages/dispatch/src/keeper/keeper.ts
@@ -13,6 +13,8 @@
 const HEDGE_PERCENTILE = 95;
 const HEDGE_FACTOR = 2;
 const MIN_HEDGE_MS = 100;
+/** Later runs that must have finished before one counts as a straggler. */
+const MIN_OVERTAKEN_BY = 16;
 /** Longest run of work that may not be repeated, whatever its deadline. */
 const MAX_UNREPEATABLE_RUN_MS = 60_000;
 
@@ -165,6 +167,7 @@
     signal: AbortSignal,
     hedgeAfterMs: number,
   ): Promise<SendResult> {
+    const startedMs = this.opts.clock.now();
     const lost = DispatchError.notRun(
       'cancelled',
       'the other send answered first',
@@ -183,12 +186,7 @@
       this.opts.clock.sleep(hedgeAfterMs, timer.signal).then(() => undefined),
     ]);
     timer.abort();
-    if (
-      early ||
-      signal.aborted ||
-      pool.digest().free === 0 ||
-      !this.hedgeBudget.take()
-    ) {
+    if (early || signal.aborted || !this.isStraggler(pool, startedMs)) {
       return early ?? first;
     }
     this.counts.hedges++;
@@ -207,6 +205,15 @@
     return winner;
   }
 
+  /** Whether a run is slow while the others aren't, and a hedge is affordable. */
+  private isStraggler(pool: Pool, startedMs: number): boolean {
+    return (
+      pool.digest().free > 0 &&
+      pool.runTimes.finishedSince(startedMs) >= MIN_OVERTAKEN_BY &&
+      this.hedgeBudget.take()
+    );
+  }
+
   private hedgeDelay(pool: Pool, work: Work): number | undefined {
     if (!work.repeatable || work.needs) {
       return undefined;
@@ -261,7 +268,11 @@
   ): void {
     switch (result.sign) {
       case 'succeeded':
-        pool.runTimes.record(work.kind, result.runMs);
+        pool.runTimes.record(
+          work.kind,
+          result.runMs,
+          this.opts.clock.now() - result.runMs,
+        );
         this.updateHealth(pool, record, 'succeeded');
         return;
       case 'failed':
--- a/packages/dispatch/src/run_times/run_times.ts
+++ b/packages/dispatch/src/run_times/run_times.ts
@@ -7,6 +7,7 @@
 const SAMPLES_TO_HALVE_AT = 5_000;
 const HIGHEST_MS = 3_600_000;
 const DEFAULT_RUN_MS = 200;
+const REMEMBERED_STARTS = 64;
 
 interface KindTimes {
   meanMs: number;
@@ -23,6 +24,9 @@
 export class RunTimes {
   private readonly kinds = new Map<KindId, KindTimes>();
   private overallMs = 0;
+  /** Start times of the latest finished runs, as a ring. */
+  private readonly finishedStarts: number[] = [];
+  private finished = 0;
 
   private constructor() {}
 
@@ -42,8 +46,14 @@
     return this.overallMs;
   }
 
-  /** Records a measured run time. */
-  record(kind: KindId, runMs: number): void {
+  /** Runs that began after a time and have finished already; 64 at most. */
+  finishedSince(startedMs: number): number {
+    return this.finishedStarts.filter(start => start > startedMs).length;
+  }
+
+  /** Records a measured run time and when the run began. */
+  record(kind: KindId, runMs: number, startedMs: number): void {
+    this.finishedStarts[this.finished++ % REMEMBERED_STARTS] = startedMs;
     this.overallMs = smooth(this.overallMs, runMs);
     let times = this.kinds.get(kind);
     if (!times || times.histogram.totalCount >= SAMPLES_TO_HALVE_AT) {
--- /dev/null
+++ b/packages/stand_ins/src/cluster/test_timing.ts
@@ -0,0 +1,9 @@
+/** Shorter periods than the defaults, so that tests end sooner; milliseconds. */
+export const TEST_TIMING = {
+  heartbeatMs: 200,
+  peerTimeoutMs: 1_500,
+  electionTimeoutMs: 300,
+  cutOffAfterMs: 1_500,
+  drainDelayMs: 500,
+  taskLeaseMs: 1_500,
+} as const;
--- a/packages/stand_ins/src/index.ts
+++ b/packages/stand_ins/src/index.ts
@@ -1,5 +1,7 @@
+export * from './caller/caller.js';
 export * from './cluster/cluster.js';
 export * from './cluster/cluster_member.js';
+export * from './cluster/test_timing.js';
 export * from './daemon_process/daemon_process.js';
 export * from './fake_target/fake_target.js';
 export * from './fake_target/fake_target_options.js';
--- /dev/null
+++ b/packages/test_kit/src/silent_log/silent_log.ts
@@ -0,0 +1,33 @@
+import type {EventLog, EventName} from '@papayarun/protocol';
+
+/**
+ * Event log that keeps the events for tests to look at.
+ */
+export class SilentLog implements EventLog {
+  readonly decisions = false;
+  readonly events: Array<{
+    readonly name: EventName;
+    readonly fields: Readonly<Record<string, unknown>>;
+  }> = [];
+
+  private constructor() {}
+
+  /**
+   * Makes an empty log.
+   *
+   * @returns The log.
+   * @example
+   * const log = SilentLog.create();
+   */
+  static create(): SilentLog {
+    return new SilentLog();
+  }
+
+  emit(name: EventName, fields: Readonly<Record<string, unknown>>): void {
+    this.events.push({name, fields});
+  }
+
+  count(name: EventName): number {
+    return this.events.filter(event => event.name === name).length;
+  }
+}
