--- a/packages/claims/src/view_keeper/next_view_members.ts
+++ b/packages/claims/src/view_keeper/next_view_members.ts
@@ -1,5 +1,6 @@
 import type {BootId, InstanceId} from '@papayarun/protocol';
 import type {ClaimView, ViewMember} from '@papayarun/releases';
+import type {LiveMember} from './live_member.js';
 
 /**
  * What the choice of the next view depends on.
@@ -12,7 +13,7 @@
   /** Whether this instance is about to end and gives up its seat. */
   readonly isLeaving: boolean;
   /** Live instances of the data centre, without this one. */
-  readonly live: readonly ViewMember[];
+  readonly live: readonly LiveMember[];
   /** Latest boot id seen of any instance, dead ones too. */
   readonly lastBoot: (id: InstanceId) => BootId | undefined;
 }
@@ -44,7 +45,8 @@
  * const next = nextViewMembers(input);
  */
 export function nextViewMembers(input: NextViewInput): NextView {
-  const {view, self, live} = input;
+  const {view, self} = input;
+  const live = input.live.filter(m => !m.isDraining || isSeated(view, m));
   const present = sortMembers(input.isLeaving ? live : [self, ...live]);
   if (present.length === 0) {
     return {kind: 'none'};
@@ -77,12 +79,18 @@
   return {kind: 'reset', members: present, replaced: replaced as ViewMember[]};
 }
 
+function isSeated(view: ClaimView | undefined, member: ViewMember): boolean {
+  return view?.members.some(seated => isSelf(seated, member)) ?? false;
+}
+
 function isSelf(member: ViewMember, self: ViewMember): boolean {
   return member.instanceId === self.instanceId && member.boot === self.boot;
 }
 
 function sortMembers(members: readonly ViewMember[]): ViewMember[] {
-  return [...members].sort((a, b) => (a.instanceId < b.instanceId ? -1 : 1));
+  return members
+    .map(({instanceId, boot}) => ({instanceId, boot}))
+    .sort((a, b) => (a.instanceId < b.instanceId ? -1 : 1));
 }
 
 function sameMembers(
--- a/packages/claims/src/view_keeper/view_keeper.ts
+++ b/packages/claims/src/view_keeper/view_keeper.ts
@@ -100,7 +100,11 @@
     const live = membership
       .livePeers()
       .filter(p => p.heartbeat.dataCentre === this.opts.dataCentre)
-      .map(p => ({instanceId: p.instanceId, boot: p.heartbeat.boot}));
+      .map(p => ({
+        instanceId: p.instanceId,
+        boot: p.heartbeat.boot,
+        isDraining: p.heartbeat.state === 'draining',
+      }));
     return nextViewMembers({
       view: this.opts.view(),
       self: {instanceId: self, boot: membership.boot},
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -50,6 +50,8 @@
 const CLAIM_TIMEOUT_MS = 5_000;
 const LEADER_TIMEOUT_MS = 5_000;
 const SWEEP_PERIOD_MS = 200;
+/** Heartbeats for which a former keeper goes on after a handover. */
+const HANDOVER_HEARTBEATS = 3;
 const READY_PERIOD_MS = 100;
 const DRAIN_POLL_MS = 20;
 const LEAVE_TIMEOUT_MS = 3_000;
@@ -202,7 +204,10 @@
       onHeartbeat: (from, heartbeat) => this.onHeartbeat(from, heartbeat),
       onChange: (peer, alive) => {
         this.log.emit(alive ? 'peerAlive' : 'peerDead', {peer});
+      },
+      onLiveHere: () => {
         this.registry.sweep();
+        this.membership.beat();
       },
       onPause: pausedMs => {
         this.log.emit('paused', {pausedMs: Math.round(pausedMs)});
@@ -271,12 +276,16 @@
 
   private createDispatch(): void {
     const {clock, random, policy, log, cfg} = this;
-    this.registry = TargetRegistry.create(
-      this.self,
+    this.registry = TargetRegistry.create({
+      self: this.self,
       clock,
-      cfg.timing.targetTimeoutMs,
-      () => this.membership.liveHere(),
-    );
+      timeoutMs: cfg.timing.targetTimeoutMs,
+      handoverMs: HANDOVER_HEARTBEATS * cfg.timing.heartbeatMs,
+      live: () => this.membership.liveHere(),
+      isDraining: () => this.state === 'draining',
+      sendTo: (keeper, announcement) =>
+        this.network.notify(keeper, 'announcement', announcement),
+    });
     this.client = TargetClient.create({
       clock,
       maxAnswerBytes: cfg.limits.answerBodyBytes,
@@ -574,7 +583,6 @@
       if ((isCurrent || isBestInCut) && this.state === 'starting') {
         this.state = 'ready';
         this.membership.invalidate();
-        this.membership.beat();
         this.log.emit('ready', {
           release: this.policy.release(),
           current: isCurrent,
@@ -605,7 +613,6 @@
     this.log.emit('draining', {inProgress: this.callers.inProgress});
     this.state = 'draining';
     this.membership.invalidate();
-    this.membership.beat();
     this.callers.beginClose();
     await this.clock.sleep(drainDelayMs);
     this.callers.stopListening();
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -30,3 +30,4 @@
 export * from './target_health/target_result.js';
 export * from './target_registry/target_record.js';
 export * from './target_registry/target_registry.js';
+export * from './target_registry/target_registry_options.js';
--- a/packages/dispatch/src/pool/pool.ts
+++ b/packages/dispatch/src/pool/pool.ts
@@ -37,6 +37,8 @@
   private readonly open = new Set<TargetRecord>();
   private readonly teamBusy = new Map<string, number>();
   private readonly callerBusy = new Map<string, number>();
+  /** Ends the wait of entries that wait. */
+  private readonly waiters = new Map<QueueEntry, (err: Error) => void>();
   /** Running tasks by job and rack. */
   private readonly jobRacks = new Map<string, number>();
   private readonly fairQueue: FairQueue;
@@ -87,6 +89,9 @@
       }
     }
     this.recount();
+    if (this.members.size === 0) {
+      this.refuseWaiting();
+    }
   }
 
   /** Targets that this pool sends to. */
@@ -133,19 +138,24 @@
       removed: false,
     };
     return new Promise((resolve, reject) => {
-      const abort = (): void => {
+      const leave = (err: Error): void => {
+        this.waiters.delete(entry);
+        signal.removeEventListener('abort', abort);
         if (this.fairQueue.removeEntry(entry)) {
-          reject(signal.reason as Error);
+          reject(err);
         }
       };
+      const abort = (): void => leave(signal.reason as Error);
       if (signal.aborted) {
         reject(signal.reason as Error);
         return;
       }
       signal.addEventListener('abort', abort, {once: true});
+      this.waiters.set(entry, leave);
       void this.pqueue.add(
         () => {
           signal.removeEventListener('abort', abort);
+          this.waiters.delete(entry);
           entry.removed = true;
           return this.start(entry, resolve);
         },
@@ -160,6 +170,19 @@
     this.pqueue.concurrency = Number.POSITIVE_INFINITY;
   }
 
+  /** Gives waiting work back, so that it is routed elsewhere. */
+  private refuseWaiting(): void {
+    const {service} = this.opts;
+    for (const leave of [...this.waiters.values()]) {
+      leave(
+        DispatchError.notRun(
+          'noTargets',
+          `no target of ${service} is left here`,
+        ),
+      );
+    }
+  }
+
   /** Refuses work that could not be answered in time, before it waits. */
   private admit(work: Work): void {
     const {policy} = this.opts;
--- a/packages/dispatch/src/target_registry/target_record.ts
+++ b/packages/dispatch/src/target_registry/target_record.ts
@@ -11,6 +11,8 @@
   heardMs: number;
   /** Whether this instance is its keeper now. */
   kept: boolean;
+  /** Monotonic time it was handed to another keeper, in milliseconds. */
+  handoverMs: number | undefined;
   health: TargetHealth;
   /** Requests sent by this instance and not yet ended. */
   inFlight: number;
--- a/packages/dispatch/src/target_registry/target_registry.ts
+++ b/packages/dispatch/src/target_registry/target_registry.ts
@@ -1,12 +1,8 @@
-import type {
-  Announcement,
-  Clock,
-  InstanceId,
-  TargetId,
-} from '@papayarun/protocol';
+import type {Announcement, InstanceId, TargetId} from '@papayarun/protocol';
 import {rendezvousOrder} from '@papayarun/protocol';
 import {HEALTHY} from '../target_health/healthy.js';
 import type {TargetRecord} from './target_record.js';
+import type {TargetRegistryOptions} from './target_registry_options.js';
 
 const MAX_PAST_BOOTS = 4;
 const NOTHING = {cores: 0, memoryMb: 0, accelerators: 0};
@@ -21,31 +17,18 @@
   private readonly records = new Map<TargetId, TargetRecord>();
   private readonly listeners: Array<(record: TargetRecord) => void> = [];
 
-  private constructor(
-    private readonly self: InstanceId,
-    private readonly clock: Clock,
-    private readonly timeoutMs: number,
-    private readonly live: () => readonly InstanceId[],
-  ) {}
+  private constructor(private readonly opts: TargetRegistryOptions) {}
 
   /**
    * Makes an empty registry.
    *
-   * @param self - This instance.
-   * @param clock - Time.
-   * @param timeoutMs - Silence after which a target expires.
-   * @param live - Live instances of this data centre.
+   * @param opts - Names, clock, timeouts and who is live.
    * @returns The registry.
    * @example
-   * const registry = TargetRegistry.create(self, clock, 3000, () => live);
+   * const registry = TargetRegistry.create(opts);
    */
-  static create(
-    self: InstanceId,
-    clock: Clock,
-    timeoutMs: number,
-    live: () => readonly InstanceId[],
-  ): TargetRegistry {
-    return new TargetRegistry(self, clock, timeoutMs, live);
+  static create(opts: TargetRegistryOptions): TargetRegistry {
+    return new TargetRegistry(opts);
   }
 
   /** Calls back after a record was added, changed, or stopped being kept. */
@@ -55,7 +38,7 @@
 
   /** Keeper first, then the instance that stands by. */
   keepersOf(id: TargetId): InstanceId[] {
-    return rendezvousOrder(id, this.live()).slice(0, 2);
+    return rendezvousOrder(id, this.opts.live()).slice(0, 2);
   }
 
   /**
@@ -71,8 +54,9 @@
       const record: TargetRecord = {
         id,
         announcement,
-        heardMs: this.clock.now(),
-        kept: this.keepersOf(id)[0] === this.self,
+        heardMs: this.opts.clock.now(),
+        kept: this.isFirstFor(id),
+        handoverMs: undefined,
         health: HEALTHY,
         inFlight: 0,
         placed: NOTHING,
@@ -92,31 +76,24 @@
       known.health = HEALTHY;
     }
     known.announcement = announcement;
-    known.heardMs = this.clock.now();
-    known.kept = this.keepersOf(id)[0] === this.self;
+    known.heardMs = this.opts.clock.now();
+    this.updateKept(known);
     this.changed(known);
     return true;
   }
 
   /** Drops silent targets and takes over those whose keeper has changed. */
   sweep(): void {
-    const nowMs = this.clock.now();
+    const nowMs = this.opts.clock.now();
     for (const record of [...this.records.values()]) {
-      if (nowMs - record.heardMs > this.timeoutMs) {
+      if (nowMs - record.heardMs > this.opts.timeoutMs) {
         this.records.delete(record.id);
         record.kept = false;
         this.changed(record);
         continue;
       }
-      const kept = this.keepersOf(record.id)[0] === this.self;
-      const back =
-        record.health.kind === 'ejected' && nowMs >= record.health.untilMs;
-      if (back && record.health.kind === 'ejected') {
-        const {ejections} = record.health;
-        record.health = {kind: 'probation', successesInRow: 0, ejections};
-      }
-      if (kept !== record.kept || back) {
-        record.kept = kept;
+      const changes = this.updateKept(record);
+      if (this.endEjection(record, nowMs) || changes) {
         this.changed(record);
       }
     }
@@ -126,6 +103,56 @@
     return [...this.records.values()];
   }
 
+  private isFirstFor(id: TargetId): boolean {
+    return this.keepersOf(id)[0] === this.opts.self;
+  }
+
+  /**
+   * Decides whether a target is kept here; says whether that changed.
+   *
+   * @description A keeper that is no longer the first hands the target over
+   * and goes on for a moment: two keepers cost capacity, none would cost
+   * requests. While this instance drains it keeps what it has.
+   */
+  private updateKept(record: TargetRecord): boolean {
+    const before = record.kept;
+    if (this.isFirstFor(record.id)) {
+      record.kept = true;
+      record.handoverMs = undefined;
+    } else if (record.kept) {
+      record.kept = this.handOver(record);
+    }
+    return record.kept !== before;
+  }
+
+  private handOver(record: TargetRecord): boolean {
+    const nowMs = this.opts.clock.now();
+    if (record.handoverMs === undefined) {
+      record.handoverMs = nowMs;
+      const next = this.keepersOf(record.id)[0];
+      if (next !== undefined) {
+        this.opts.sendTo(next, record.announcement);
+      }
+    }
+    return (
+      this.opts.isDraining() || nowMs - record.handoverMs < this.opts.handoverMs
+    );
+  }
+
+  /** Puts an ejected target on probation once its time is over. */
+  private endEjection(record: TargetRecord, nowMs: number): boolean {
+    const {health} = record;
+    if (health.kind !== 'ejected' || nowMs < health.untilMs) {
+      return false;
+    }
+    record.health = {
+      kind: 'probation',
+      successesInRow: 0,
+      ejections: health.ejections,
+    };
+    return true;
+  }
+
   private changed(record: TargetRecord): void {
     for (const listener of this.listeners) {
       listener(record);
--- a/packages/membership/src/membership/membership.ts
+++ b/packages/membership/src/membership/membership.ts
@@ -102,9 +102,10 @@
     return this.sortedLive;
   }
 
-  /** Forgets the cached list after this instance's own state changed. */
+  /** Takes note that the live instances here may have changed. */
   invalidate(): void {
     this.sortedLive = undefined;
+    this.opts.onLiveHere();
   }
 
   private receive(from: InstanceId, heartbeat: Heartbeat): void {
@@ -114,15 +115,15 @@
     const changed =
       before?.heartbeat.boot !== heartbeat.boot ||
       before.heartbeat.state !== heartbeat.state;
-    if (changed) {
-      this.sortedLive = undefined;
-    }
-    if (!this.alive.has(from)) {
+    const isNew = !this.alive.has(from);
+    if (isNew) {
       this.alive.add(from);
-      this.sortedLive = undefined;
       this.opts.onChange(from, true);
     }
     this.opts.onHeartbeat(from, heartbeat);
+    if (changed || isNew) {
+      this.invalidate();
+    }
   }
 
   private async beatLoop(): Promise<void> {
@@ -151,8 +152,8 @@
     for (const id of [...this.alive]) {
       if (nowMs - this.peers.get(id)!.heardMs > this.opts.timeoutMs) {
         this.alive.delete(id);
-        this.sortedLive = undefined;
         this.opts.onChange(id, false);
+        this.invalidate();
       }
     }
   }
--- a/packages/membership/src/membership/membership_options.ts
+++ b/packages/membership/src/membership/membership_options.ts
@@ -27,6 +27,8 @@
   readonly onHeartbeat: (from: InstanceId, heartbeat: Heartbeat) => void;
   /** Called when a peer comes alive or is lost. */
   readonly onChange: (peer: InstanceId, alive: boolean) => void;
+  /** Called when the live instances of this data centre may have changed. */
+  readonly onLiveHere: () => void;
   /** Called after this process itself stood still for longer than the timeout. */
   readonly onPause: (pausedMs: number) => void;
 }
--- a/packages/stand_ins/src/daemon_process/daemon_process.ts
+++ b/packages/stand_ins/src/daemon_process/daemon_process.ts
@@ -24,8 +24,6 @@
  * A real `papayarund` process.
  */
 export class DaemonProcess {
-  readonly lines: LogLine[] = [];
-  readonly errors: string[] = [];
   /** Exit code, once it has ended; null when a signal ended it. */
   exitCode: number | null | undefined;
 
@@ -33,6 +31,10 @@
     private readonly child: ChildProcess,
     readonly ports: DaemonPorts,
     private readonly exited: Promise<void>,
+    /** Latest log lines. */
+    readonly lines: LogLine[],
+    /** What it wrote to standard error. */
+    readonly errors: string[],
   ) {}
 
   /**
@@ -65,18 +67,15 @@
           reject(new Error(`daemon ended with ${code}: ${errors.join('')}`));
         }
       });
+      const lines: LogLine[] = [];
       createInterface({input: child.stdout}).on('line', text => {
         const line = JSON.parse(text) as LogLine;
+        keep(lines, line);
         if (line.eventName === 'started') {
-          daemon = new DaemonProcess(
-            child,
-            line as unknown as DaemonPorts,
-            exited,
-          );
-          daemon.errors.push(...errors);
+          const ports = line as unknown as DaemonPorts;
+          daemon = new DaemonProcess(child, ports, exited, lines, errors);
           resolve(daemon);
         }
-        daemon?.keep(line);
       });
     });
   }
@@ -109,11 +108,11 @@
   events(name: string): LogLine[] {
     return this.lines.filter(line => line.eventName === name);
   }
+}
 
-  private keep(line: LogLine): void {
-    this.lines.push(line);
-    if (this.lines.length > 2 * KEPT_LINES) {
-      this.lines.splice(0, KEPT_LINES);
-    }
+function keep(lines: LogLine[], line: LogLine): void {
+  lines.push(line);
+  if (lines.length > 2 * KEPT_LINES) {
+    lines.splice(0, KEPT_LINES);
   }
 }
--- a/packages/stand_ins/src/index.ts
+++ b/packages/stand_ins/src/index.ts
@@ -8,5 +8,6 @@
 export * from './fake_target/fault.js';
 export * from './http_call/http_call.js';
 export * from './relay/relay.js';
+export * from './release_watch/release_watch.js';
 export * from './target_process/target_process.js';
 export * from './wait_until/wait_until.js';
