Claims searched by property; a closed generation started an id again

A resend that waited for its instance to join had passed the check of the generation before all members were killed; the loop then claimed it in the view that had just been reset, where its first start was forgotten.

Ruled out: the transfer (no member was left to transfer from); the continuity rule of views (the reset was rightful, all old boots were replaced).

Change: the generation is checked against the very view that the claim is made in. Besides, a refusal of a keyed request by an instance that knows nothing of the key (not ready, home unreachable, no claim possible) is `mayHaveRun`: an earlier copy may have been started. A claim that is not yet made is given up when its caller goes. Keyed requests left the composition of the instance.

--- a/packages/claims/src/claims/claims.ts
+++ b/packages/claims/src/claims/claims.ts
@@ -80,6 +80,8 @@
    * @param id - Idempotency key.
    * @param fingerprint - Fingerprint of the content.
    * @param waitMs - Longest wait for the outcome.
+   * @param signal - Aborts when nobody waits any more; work that has been
+   *   claimed goes on, a claim that hasn't been made is given up.
    * @param execute - Runs the work; must not throw.
    * @returns The outcome.
    */
@@ -87,12 +89,14 @@
     id: string,
     fingerprint: string,
     waitMs: number,
+    signal: AbortSignal,
     execute: () => Promise<Outcome>,
   ): Promise<Outcome> {
     const startedMs = this.opts.clock.now();
     try {
       this.checkKey(parseRequestKey(id, 'papayarun-id'));
       for (;;) {
+        signal.throwIfAborted();
         const attempt = await this.claim(id, fingerprint);
         const leftMs = waitMs - (this.opts.clock.now() - startedMs);
         switch (attempt.kind) {
@@ -188,13 +192,6 @@
         },
       );
     }
-    const generation = this.opts.view()?.generation ?? 0;
-    if (key.generation < generation) {
-      throw DispatchError.mayHaveRun(
-        'generationClosed',
-        'the claims made with this id were lost; take a new prefix for new requests',
-      );
-    }
   }
 
   private checkPatience(
@@ -205,12 +202,10 @@
     const waited = this.opts.clock.now() - startedMs;
     if (waited > Math.min(waitMs, this.opts.claimTimeoutMs)) {
       this.opts.log.emit('claimUnavailable', {reason});
-      throw DispatchError.notRun(
+      // Another copy of the request may be with a member that can't be asked.
+      throw DispatchError.mayHaveRun(
         'claimUnavailable',
-        `no claim could be made: ${reason}`,
-        {
-          retryAfterMs: MS_PER_SECOND,
-        },
+        `no claim could be made: ${reason}; send it again with the same id`,
       );
     }
   }
@@ -232,6 +227,14 @@
         reason: 'the id is of a generation that is not known here',
       };
     }
+    // Checked against the very view that the claim is made in: the generation
+    // may have changed since the request came.
+    if (generation < view.generation) {
+      throw DispatchError.mayHaveRun(
+        'generationClosed',
+        'the claims made with this id were lost; take a new prefix for new requests',
+      );
+    }
     const known = table.get(id);
     if (known) {
       return {kind: 'held', record: known};
--- a/packages/daemon/src/caller_api/caller_api_options.ts
+++ b/packages/daemon/src/caller_api/caller_api_options.ts
@@ -21,7 +21,7 @@
   /** Runs repeatable work. */
   readonly runRepeatable: (work: Work, signal: AbortSignal) => Promise<Outcome>;
   /** Runs work with an idempotency key at its home data centre. */
-  readonly runOnce: (work: Work) => Promise<Outcome>;
+  readonly runOnce: (work: Work, signal: AbortSignal) => Promise<Outcome>;
   readonly job: (command: JobCommand) => Promise<JobView>;
   readonly announce: (announcement: Announcement) => void;
   readonly setPreferences: (
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -21,7 +21,6 @@
 import {
   DispatchError,
   fingerprint,
-  parseRequestKey,
   SeededRandom,
   SystemClock,
 } from '@papayarun/protocol';
@@ -37,6 +36,7 @@
 import {bearerGuard} from '../http/bearer_guard.js';
 import {HttpApp} from '../http/http_app.js';
 import {JobService} from '../job_service/job_service.js';
+import {KeyedRequests} from '../keyed_requests/keyed_requests.js';
 import {Metrics} from '../metrics/metrics.js';
 import {operatorRoutes} from '../operator_api/operator_routes.js';
 import {ReleasePolicy} from '../release_policy/release_policy.js';
@@ -81,6 +81,7 @@
   private table!: ClaimTable;
   private seat!: Seat;
   private claims!: Claims;
+  private keyed!: KeyedRequests;
   private viewKeeper!: ViewKeeper;
   private jobs!: JobService;
   private callers!: HttpApp;
@@ -313,7 +314,7 @@
       log,
       retryRatio: RETRY_RATIO,
       isCutOff: () => this.isCutOff(),
-      runEntry: work => this.runOnce(work),
+      runEntry: (work, signal) => this.keyed.run(work, signal),
     });
     this.network.onNotice('announcement', (_from, announcement) => {
       this.registry.accept(announcement);
@@ -351,6 +352,14 @@
       claimTimeoutMs: CLAIM_TIMEOUT_MS,
       makeClaimId: () => randomUUID(),
     });
+    this.keyed = KeyedRequests.create({
+      dataCentre: this.dataCentre,
+      claims: this.claims,
+      router: this.router,
+      isDataCentre: dataCentre => this.isMemberDataCentre(dataCentre),
+      instanceIn: dataCentre => this.instanceIn(dataCentre),
+      ending: this.stopping.signal,
+    });
     this.viewKeeper = ViewKeeper.create({
       self: this.self,
       dataCentre: this.dataCentre,
@@ -401,7 +410,8 @@
             this.counted(work, () =>
               this.router.route(work, signal, {spill: true}),
             ),
-          runOnce: work => this.counted(work, () => this.runOnce(work)),
+          runOnce: (work, signal) =>
+            this.counted(work, () => this.keyed.run(work, signal)),
           job: command => this.jobs.run(command),
           announce: announcement => this.announce(announcement),
           setPreferences: (customer, choices) =>
@@ -478,34 +488,6 @@
     void this.control.learn(from, heartbeat);
   }
 
-  /** Runs work with a key where its home is; claims it here if that is here. */
-  private async runOnce(work: Work): Promise<Outcome> {
-    const {home} = parseRequestKey(work.requestId, 'papayarun-id');
-    if (home !== this.dataCentre) {
-      const instance = this.instanceIn(home);
-      if (!instance) {
-        const err = this.isMemberDataCentre(home)
-          ? DispatchError.notRun(
-              'homeUnreachable',
-              `${home}, the id's home, can't be reached`,
-            )
-          : DispatchError.notRun(
-              'unknownHome',
-              `${home} is no data centre here`,
-              {field: 'papayarun-id'},
-            );
-        return {kind: 'refused', refusal: err.refusal};
-      }
-      return this.router.forward(instance, 'entry', work, this.stopping.signal);
-    }
-    const content = fingerprint(
-      Buffer.concat([Buffer.from(`${work.service} ${work.path}\n`), work.body]),
-    );
-    return this.claims.runOnce(work.requestId, content, work.deadlineMs, () =>
-      this.router.route(work, this.stopping.signal, {spill: false}),
-    );
-  }
-
   private async counted(
     work: Work,
     run: () => Promise<Outcome>,
--- a/packages/daemon/src/job_service/job_service.ts
+++ b/packages/daemon/src/job_service/job_service.ts
@@ -19,6 +19,7 @@
 } from '@papayarun/protocol';
 
 const REPLY_GRACE_MS = 2_000;
+const NEVER_ABORTED = new AbortController().signal;
 
 /**
  * What job commands need.
@@ -93,6 +94,7 @@
       spec.id,
       content,
       Math.max(1, command.waitMs),
+      NEVER_ABORTED,
       () => runner.run(spec),
     );
     if (outcome.kind === 'refused' && outcome.refusal.code === 'deadline') {
@@ -109,11 +111,7 @@
     const {claims, network} = this.opts;
     const record = claims.find(command.id);
     if (!record) {
-      throw DispatchError.notRun(
-        'notFound',
-        'no job with this id is remembered',
-        {field: 'id'},
-      );
+      throw unknownJob();
     }
     if (record.outcome) {
       return viewOf(command.id, record.outcome);
@@ -143,11 +141,7 @@
     const outcome =
       (await claims.await(command.id, REPLY_GRACE_MS)) ?? record?.outcome;
     if (!outcome) {
-      throw DispatchError.notRun(
-        'notFound',
-        'no job with this id is remembered',
-        {field: 'id'},
-      );
+      throw unknownJob();
     }
     return viewOf(command.id, outcome);
   }
@@ -160,7 +154,7 @@
   private atHome(home: DataCentreId): InstanceId {
     const instance = this.opts.instanceIn(home);
     if (!instance) {
-      throw DispatchError.notRun(
+      throw DispatchError.mayHaveRun(
         'homeUnreachable',
         `${home}, the id's home, can't be reached`,
       );
@@ -181,7 +175,7 @@
             'ownerLost',
             `${to} was lost before it answered`,
           )
-        : DispatchError.notRun('homeUnreachable', `${to} can't be reached`);
+        : DispatchError.mayHaveRun('homeUnreachable', `${to} can't be reached`);
     }
     if (res.kind === 'refused') {
       throw DispatchError.create(res.refusal);
@@ -199,6 +193,14 @@
   ) as JobView;
 }
 
+/** It may have run and been forgotten, or be known to another member. */
+function unknownJob(): DispatchError {
+  return DispatchError.mayHaveRun(
+    'notFound',
+    'no job with this id is remembered',
+  );
+}
+
 function lostOutcome(): Outcome {
   const refusal: Refusal = DispatchError.mayHaveRun(
     'ownerLost',
--- a/packages/dispatch/src/router/router.ts
+++ b/packages/dispatch/src/router/router.ts
@@ -226,7 +226,7 @@
   private serveEntry(work: Work, signal: AbortSignal): Promise<Outcome> {
     return work.repeatable
       ? this.route(work, signal, {spill: false})
-      : this.opts.runEntry(work);
+      : this.opts.runEntry(work, signal);
   }
 
   private candidates(service: ServiceId): KeeperCandidate[] {
--- a/packages/dispatch/src/router/router_options.ts
+++ b/packages/dispatch/src/router/router_options.ts
@@ -26,5 +26,5 @@
   /** Whether the configuration may be old. */
   readonly isCutOff: () => boolean;
   /** Runs work with a key that another data centre's instance hands over. */
-  readonly runEntry: (work: Work) => Promise<Outcome>;
+  readonly runEntry: (work: Work, signal: AbortSignal) => Promise<Outcome>;
 }
--- a/packages/test_kit/src/index.ts
+++ b/packages/test_kit/src/index.ts
@@ -1,3 +1,5 @@
+export * from './gate/gate.js';
+export * from './gated_clock/gated_clock.js';
 export * from './memory_disk/memory_disk.js';
 export * from './memory_network/memory_network.js';
 export * from './silent_log/silent_log.js';
--- a/packages/test_kit/src/memory_network/memory_network.ts
+++ b/packages/test_kit/src/memory_network/memory_network.ts
@@ -7,6 +7,7 @@
   RandomSource,
 } from '@papayarun/protocol';
 import {decodeMessage, encodeMessage, PeerCallError} from '@papayarun/protocol';
+import {Gate} from '../gate/gate.js';
 
 type CallHandler = (from: InstanceId, req: unknown) => Promise<unknown>;
 type NoticeHandler = (from: InstanceId, notice: unknown) => void;
@@ -18,6 +19,8 @@
   private readonly ends = new Map<InstanceId, MemoryNetworkEnd>();
   private readonly cuts = new Set<string>();
   messages = 0;
+  /** Part of the messages that are lost at random, 0 to 1. */
+  lossRate = 0;
 
   private constructor(
     private readonly clock: Clock,
@@ -82,9 +85,15 @@
   ): Promise<MemoryNetworkEnd | undefined> {
     this.messages++;
     await this.clock.sleep(this.random.next() * this.maxDelayMs);
+    const isLost = this.random.next() < this.lossRate;
     const isCut = this.cuts.has(`${from.self} ${to}`);
     const isAlive = this.ends.get(from.self) === from;
-    return isCut || !isAlive ? undefined : this.ends.get(to);
+    const end = this.ends.get(to);
+    if (isLost || isCut || !isAlive || !end) {
+      return undefined;
+    }
+    await end.gate.pass();
+    return this.ends.get(to) === end ? end : undefined;
   }
 
   /** @internal */
@@ -97,6 +106,8 @@
  * One instance's links.
  */
 export class MemoryNetworkEnd implements PeerNetwork {
+  /** Holds back what arrives while the process is frozen. */
+  readonly gate = Gate.create();
   private readonly calls = new Map<string, CallHandler>();
   private readonly notices = new Map<string, NoticeHandler>();
 
