A new incarnation no longer answers for the claims of the old one; benches

An instance asked the owner of a claim for its outcome; the owner had been killed and started again in between, and its new incarnation, which knew nothing, said that the attempt had ended without a start. The claim was released and made anew.

Ruled out: the decision that the owner was alive (right when it was made); the view (the claim was on all members).

Change: the question names the incarnation; another one answers that it is lost, which is told as "may have run". Bench programs with stated bounds.

--- a/packages/claims/src/claims/claims.ts
+++ b/packages/claims/src/claims/claims.ts
@@ -470,7 +470,8 @@
   ): Promise<Outcome | undefined> {
     let res: OwnerAnswerCall['res'];
     try {
-      const req = {id: record.id, claimId: record.claimId, waitMs};
+      const {id, claimId, ownerBoot} = record;
+      const req = {id, claimId, ownerBoot, waitMs};
       const timeoutMs = waitMs + MEMBER_TIMEOUT_MS;
       res = await this.opts.network.call(record.owner, 'ownerAnswer', req, {
         timeoutMs,
@@ -485,6 +486,8 @@
         throw stillRunning();
       case 'pending':
         return undefined;
+      case 'lost':
+        throw ownerLost();
       case 'unknown':
         // That attempt has ended without a start, so it may be forgotten.
         await this.release(record, this.otherMembers());
@@ -506,6 +509,9 @@
       return {kind: 'pending'};
     }
     const outcome = this.opts.table.get(req.id)?.outcome;
+    if (!outcome && req.ownerBoot !== this.opts.membership.boot) {
+      return {kind: 'lost'};
+    }
     return outcome ? {kind: 'done', outcome} : {kind: 'unknown'};
   }
 
--- a/packages/protocol/src/messages/owner_answer_call.ts
+++ b/packages/protocol/src/messages/owner_answer_call.ts
@@ -1,3 +1,4 @@
+import type {BootId} from '../ids/boot_id.js';
 import type {ClaimId} from '../ids/claim_id.js';
 import type {Outcome} from '../work/outcome.js';
 
@@ -8,6 +9,8 @@
   readonly req: {
     readonly id: string;
     readonly claimId: ClaimId;
+    /** Incarnation that made the claim; another one knows nothing of it. */
+    readonly ownerBoot: BootId;
     readonly waitMs: number;
   };
   readonly res:
@@ -15,6 +18,8 @@
     | {readonly kind: 'running'}
     /** The claim is still being made. */
     | {readonly kind: 'pending'}
+    /** The incarnation that made the claim is gone. */
+    | {readonly kind: 'lost'}
     /** That attempt ended, and nothing was started by it. */
     | {readonly kind: 'unknown'};
 }
--- /dev/null
+++ b/packages/stand_ins/src/bench/fleet.ts
@@ -0,0 +1,168 @@
+import {Agent} from 'node:http';
+import {Cluster} from '../cluster/cluster.js';
+import type {ClusterMember} from '../cluster/cluster_member.js';
+import {FakeTarget} from '../fake_target/fake_target.js';
+import {httpCall} from '../http_call/http_call.js';
+import {waitUntil} from '../wait_until/wait_until.js';
+import type {LoadSpec} from './load_spec.js';
+
+const SERVICE = 'outage-report';
+const SETTLE_MS = 1_500;
+
+/**
+ * What a fleet consists of.
+ */
+export interface FleetSpec {
+  readonly dataCentres: readonly string[];
+  readonly instancesEach: number;
+  readonly targetsEach: number;
+  readonly slots: number;
+  readonly decisions: boolean;
+}
+
+/**
+ * Real instances with in-process targets, for measurements.
+ */
+export class Fleet {
+  readonly agent = new Agent({keepAlive: true, maxSockets: 4_000});
+
+  private constructor(
+    readonly cluster: Cluster,
+    readonly targets: readonly FakeTarget[],
+  ) {}
+
+  /**
+   * Starts a fleet with the default timing.
+   *
+   * @param spec - Its size.
+   * @returns The fleet, once all targets are kept.
+   * @example
+   * const fleet = await Fleet.create(spec);
+   */
+  static async create(spec: FleetSpec): Promise<Fleet> {
+    const members: ClusterMember[] = spec.dataCentres.flatMap(dataCentre =>
+      Array.from({length: spec.instancesEach}, (_, n) => ({
+        id: `${dataCentre}-${n + 1}`,
+        dataCentre,
+        replica: n === 0,
+      })),
+    );
+    const cluster = await Cluster.create(members, {
+      log: {decisions: spec.decisions},
+    });
+    await cluster.startAll();
+    const targets: FakeTarget[] = [];
+    for (const dataCentre of spec.dataCentres) {
+      for (let n = 0; n < spec.targetsEach; n++) {
+        targets.push(
+          await FakeTarget.create({
+            targetId: `${dataCentre}-runner-${n}`,
+            service: SERVICE,
+            slots: spec.slots,
+            announcePorts: () => cluster.callersPorts(dataCentre),
+          }),
+        );
+      }
+    }
+    const fleet = new Fleet(cluster, targets);
+    await waitUntil('all targets are kept', 15_000, () => fleet.allKept());
+    await new Promise(resolve => setTimeout(resolve, SETTLE_MS));
+    return fleet;
+  }
+
+  /** Sends one request to an instance; says what came of it. */
+  async send(
+    port: number,
+    spec: LoadSpec,
+    runMs: number,
+    n: number,
+    id?: string,
+  ): Promise<'answered' | 'notRun' | 'failed'> {
+    const key: Record<string, string> =
+      id === undefined
+        ? {'papayarun-repeatable': 'true'}
+        : {'papayarun-id': id};
+    try {
+      const res = await httpCall({
+        port,
+        method: 'POST',
+        path: `/v1/services/${SERVICE}/run`,
+        headers: {
+          ...key,
+          'papayarun-kind': spec.kind,
+          'papayarun-caller': `${spec.kind}-${n % spec.callers}`,
+          'papayarun-urgency': String(spec.urgency),
+          'papayarun-deadline-ms': String(spec.deadlineMs),
+        },
+        body: JSON.stringify({runMs}),
+        agent: this.agent,
+      });
+      if (res.status === 200) {
+        return 'answered';
+      }
+      return res.headers['papayarun-verdict'] === 'notRun'
+        ? 'notRun'
+        : 'failed';
+    } catch {
+      return 'failed';
+    }
+  }
+
+  /** Sum of a metric over all instances. */
+  async metric(name: string): Promise<number> {
+    const texts = await Promise.all(
+      [...this.cluster.daemons.keys()].map(id =>
+        this.cluster.operate(id, 'GET', '/metrics'),
+      ),
+    );
+    return texts.reduce((sum, res) => sum + sumOfMetric(res.text, name), 0);
+  }
+
+  get totalStarts(): number {
+    return this.targets.reduce((sum, target) => sum + target.totalStarts, 0);
+  }
+
+  get totalRefusedBusy(): number {
+    return this.targets.reduce((sum, target) => sum + target.refusedBusy, 0);
+  }
+
+  async applyNote(note: unknown): Promise<void> {
+    const res = await this.cluster.operate(
+      this.cluster.members[0]!.id,
+      'POST',
+      '/v1/releases',
+      note,
+    );
+    if (res.status !== 200) {
+      throw new Error(res.text);
+    }
+  }
+
+  async close(): Promise<void> {
+    this.agent.destroy();
+    await Promise.all(this.targets.map(target => target.close()));
+    await this.cluster.close();
+  }
+
+  private async allKept(): Promise<boolean> {
+    const ids = [...this.cluster.daemons.keys()];
+    const texts = await Promise.all(
+      ids.map(id => this.cluster.operate(id, 'GET', '/v1/targets')),
+    );
+    const kept = texts.reduce(
+      (sum, res) => sum + res.text.split('"keptHere":true').length - 1,
+      0,
+    );
+    return kept === this.targets.length;
+  }
+}
+
+function sumOfMetric(text: string, name: string): number {
+  return text
+    .split('\n')
+    .filter(line => line.startsWith(`${name} `) || line.startsWith(`${name}{`))
+    .reduce(
+      (sum, line) => sum + Number(line.slice(line.lastIndexOf(' ') + 1)),
+      0,
+    );
+}
--- /dev/null
+++ b/packages/stand_ins/src/bench/load_spec.ts
@@ -0,0 +1,14 @@
+/**
+ * Open-loop load of one kind of work.
+ */
+export interface LoadSpec {
+  readonly kind: string;
+  readonly callers: number;
+  readonly urgency: number;
+  /** Mean arrivals a second. */
+  readonly perSecond: number;
+  readonly minRunMs: number;
+  readonly maxRunMs: number;
+  readonly deadlineMs: number;
+  readonly seconds: number;
+}
--- /dev/null
+++ b/packages/stand_ins/src/bench/main.ts
@@ -0,0 +1,39 @@
+import {floodBench} from './flood_bench.js';
+import {responseBench} from './response_bench.js';
+
+/** Measurements by name; each says whether its bounds held. */
+const BENCHES: Readonly<Record<string, () => Promise<boolean>>> = {
+  response: () => responseBench(0.7, 0),
+  'response-90': () => responseBench(0.9, 0),
+  skew: () => responseBench(0.7, 0.8),
+  'flood-low': () =>
+    floodBench([
+      {urgency: 0, callers: 1},
+      {urgency: 0, callers: 50},
+    ]),
+  'flood-high': () =>
+    floodBench([
+      {urgency: 3, callers: 1},
+      {urgency: 3, callers: 50},
+    ]),
+};
+
+async function main(): Promise<void> {
+  const wanted = process.argv.slice(2);
+  const names = wanted.length > 0 ? wanted : Object.keys(BENCHES);
+  let held = true;
+  for (const name of names) {
+    const bench = BENCHES[name];
+    if (!bench) {
+      process.stderr.write(
+        `no bench ${name}; there are ${Object.keys(BENCHES).join(', ')}\n`,
+      );
+      process.exit(2);
+    }
+    process.stdout.write(`\n${name}\n`);
+    held = (await bench()) && held;
+  }
+  process.exit(held ? 0 : 1);
+}
+
+await main();
