Direct tests for rules of the claim view that the random search rarely meets

Cause: two mutations (acknowledge in any epoch, join before the transfer) and the old incarnation's claims were met by the search only in long runs or not at all.

Change: three deterministic tests, each seen red under its mutation: two starts in place of one.

--- a/packages/claims/src/claims/claims.test.ts
+++ b/packages/claims/src/claims/claims.test.ts
@@ -177,6 +177,11 @@
     this.net.setCut(b, a, true);
   }
 
+  connect(a: InstanceId, b: InstanceId): void {
+    this.net.setCut(a, b, false);
+    this.net.setCut(b, a, false);
+  }
+
   setControl(name: InstanceId, has: boolean): void {
     const process = this.processes.get(name);
     if (process) {
@@ -406,4 +411,70 @@
       {seed: SEED, numRuns: RUNS},
     );
   });
+
+  it('give a removed member that does not know it no acknowledgement', async () => {
+    const bench = new Bench(41);
+    const [a, b, c] = NAMES as [InstanceId, InstanceId, InstanceId];
+    bench.crash(c);
+    await bench.clock.advance(2_000);
+    const id = bench.newId();
+    bench.setControl(a, false);
+    bench.cut(a, b);
+    await bench.clock.advance(1_000);
+    bench.start(c);
+    bench.cut(a, c);
+    await bench.clock.advance(1_000);
+    expect(
+      bench.processes
+        .get(b)!
+        .state.views[CENTRO]!.members.map(m => m.instanceId),
+    ).toEqual([b, c]);
+    bench.connect(a, b);
+    await bench.clock.advance(5);
+    bench.send(a, id);
+    await bench.clock.advance(1_000);
+    bench.crash(b);
+    bench.crash(a);
+    await bench.clock.advance(2_000);
+    bench.send(c, id);
+    await bench.clock.advance(2_000);
+    expect(bench.starts.get(id)).toBe(1);
+    expect(bench.answered.get(id)).toContain('ran');
+  });
+
+  it('are transferred before a new member answers for them', async () => {
+    const bench = new Bench(42);
+    const [a, b, c] = NAMES as [InstanceId, InstanceId, InstanceId];
+    bench.crash(c);
+    await bench.clock.advance(2_000);
+    const id = bench.newId();
+    bench.send(a, id);
+    await bench.clock.advance(500);
+    bench.start(c);
+    await bench.clock.advance(2_000);
+    bench.crash(a);
+    bench.crash(b);
+    await bench.clock.advance(2_000);
+    bench.send(c, id);
+    await bench.clock.advance(2_000);
+    expect(bench.starts.get(id)).toBe(1);
+    expect(bench.answered.get(id)).toEqual(new Set(['ran']));
+  });
+
+  it('are lost with the incarnation that made them, also when the next one answers', async () => {
+    for (let seed = 43; seed < 83; seed++) {
+      const bench = new Bench(seed);
+      const [a, b] = NAMES as [InstanceId, InstanceId];
+      await bench.clock.advance(2_000);
+      const id = bench.newId();
+      bench.send(a, id);
+      await bench.clock.advance(10 + (seed % 10));
+      bench.crash(a);
+      bench.send(b, id);
+      bench.start(a);
+      await bench.clock.advance(3_000);
+      expect(bench.starts.get(id), `seed ${seed}`).toBe(1);
+      NAMES.forEach(name => bench.crash(name));
+    }
+  });
 });
