--- a/packages/cli/src/_lib/call_operator.ts
+++ b/packages/cli/src/_lib/call_operator.ts
@@ -40,6 +40,11 @@
   } catch (err) {
     throw UsageError.create(`--key-file: ${(err as Error).message}`);
   }
+  if (!/^[\x21-\x7e]+$/.test(key)) {
+    throw UsageError.create(
+      `--key-file: expected one line without spaces in ${keyFile}`,
+    );
+  }
   const headers = {
     authorization: `Bearer ${key}`,
     'content-type': 'application/json',
--- /dev/null
+++ b/packages/daemon/src/caller_api/body_schemas.test.ts
@@ -0,0 +1,86 @@
+import {DispatchError} from '@papayarun/protocol';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {parseJson} from '../http/parse_json.js';
+import {announcementSchema} from './announcement_schema.js';
+import {jobSpecSchema} from './job_spec_schema.js';
+
+const ANNOUNCEMENT = {
+  targetId: 'runner-1',
+  boot: 'b1',
+  seq: 1,
+  state: 'ready',
+  service: 'outage-report',
+  url: 'http://127.0.0.1:8080',
+  slots: 8,
+  connections: 60,
+};
+const JOB = {
+  id: 'x',
+  service: 'forecast',
+  tasks: [{needs: {cores: 1, memoryMb: 1}}],
+};
+const SCHEMAS = [announcementSchema, jobSpecSchema(420, 30_000)] as const;
+
+function bytes(document: unknown): Buffer {
+  return Buffer.from(JSON.stringify(document));
+}
+
+describe('bodies of the callers port', () => {
+  it('are taken when they are sound', () => {
+    expect(parseJson(bytes(ANNOUNCEMENT), announcementSchema).slots).toBe(8);
+    expect(parseJson(bytes(JOB), SCHEMAS[1]).tasks[0]!.needs.accelerators).toBe(
+      0,
+    );
+  });
+
+  it.each([
+    [{...ANNOUNCEMENT, slots: 0}, '$.slots'],
+    [{...ANNOUNCEMENT, url: 'ftp://x'}, '$.url'],
+    [{...ANNOUNCEMENT, state: 'gone'}, '$.state'],
+    [{...ANNOUNCEMENT, worker: {rack: 'r'}}, '$.worker.total'],
+    [{...ANNOUNCEMENT, colour: 1}, '$'],
+  ])('name the wrong field of an announcement: %j', (document, field) => {
+    try {
+      parseJson(bytes(document), announcementSchema);
+      expect.unreachable();
+    } catch (err) {
+      expect((err as DispatchError).refusal).toMatchObject({
+        field,
+        verdict: {kind: 'notRun'},
+      });
+    }
+  });
+
+  it('refuse a job of 421 tasks', () => {
+    const tasks = Array.from({length: 421}, () => JOB.tasks[0]);
+    expect(() => parseJson(bytes({...JOB, tasks}), SCHEMAS[1])).toThrow(
+      '$.tasks',
+    );
+  });
+
+  it('throw nothing but a refusal that names a field, whatever the bytes', () => {
+    const any = fc.oneof(
+      fc.uint8Array({maxLength: 200}),
+      fc.json().map(text => new Uint8Array(Buffer.from(text))),
+      fc
+        .record({
+          ...Object.fromEntries(
+            Object.keys(ANNOUNCEMENT).map(key => [key, fc.jsonValue()]),
+          ),
+        })
+        .map(bytes),
+    );
+    fc.assert(
+      fc.property(any, fc.constantFrom(...SCHEMAS), (body, schema) => {
+        try {
+          parseJson(body, schema as (typeof SCHEMAS)[0]);
+        } catch (err) {
+          expect(err).toBeInstanceOf(DispatchError);
+          expect((err as DispatchError).refusal.field).toMatch(/^\$/);
+        }
+      }),
+      {seed: 19, numRuns: 3_000},
+    );
+  });
+});
--- /dev/null
+++ b/packages/stand_ins/src/slopes/usage.ts
@@ -0,0 +1,54 @@
+import type {Cluster} from '../cluster/cluster.js';
+
+/**
+ * What instances have used so far, summed over some of them.
+ */
+export interface Usage {
+  readonly cpuSeconds: number;
+  readonly peerMessages: number;
+  readonly peerBytes: number;
+  readonly rssBytes: number;
+  readonly heapBytes: number;
+}
+
+const METRICS: Readonly<Record<keyof Usage, string>> = {
+  cpuSeconds: 'process_cpu_seconds_total',
+  peerMessages: 'papayarun_peer_messages_total',
+  peerBytes: 'papayarun_peer_bytes_total',
+  rssBytes: 'process_resident_memory_bytes',
+  heapBytes: 'nodejs_heap_size_used_bytes',
+};
+
+/**
+ * Reads the usage of instances from their metrics.
+ *
+ * @param cluster - The instances.
+ * @param ids - Which of them.
+ * @returns The sums.
+ * @throws Error when an instance doesn't answer.
+ * @example
+ * const before = await readUsage(cluster, ['centro-1']);
+ */
+export async function readUsage(
+  cluster: Cluster,
+  ids: readonly string[],
+): Promise<Usage> {
+  const texts = await Promise.all(
+    ids.map(id => cluster.operate(id, 'GET', '/metrics')),
+  );
+  const sumOf = (name: string): number =>
+    texts.reduce((sum, res) => sum + metricOf(res.text, name), 0);
+  return Object.fromEntries(
+    Object.entries(METRICS).map(([key, name]) => [key, sumOf(name)]),
+  ) as unknown as Usage;
+}
+
+function metricOf(text: string, name: string): number {
+  return text
+    .split('\n')
+    .filter(line => line.startsWith(`${name} `) || line.startsWith(`${name}{`))
+    .reduce(
+      (sum, line) => sum + Number(line.slice(line.lastIndexOf(' ') + 1)),
+      0,
+    );
+}
