Signals leave nothing behind; announcements no longer recount the pool

Cause: each request linked itself to signals that live as long as the instance (AbortSignal.any), and each send of a request with an id left a timer of 60 s; each announcement went over all targets of its service twice.

Change: a merged signal that is disposed with its request; an announcement that changes neither slots nor health touches the pool only when work waits. The composition of the instance lost its reports, its wait for the release and the reading of members to files of their own.

--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -18,12 +18,7 @@
   ReplicaId,
   Work,
 } from '@papayarun/protocol';
-import {
-  DispatchError,
-  fingerprint,
-  SeededRandom,
-  SystemClock,
-} from '@papayarun/protocol';
+import {DispatchError, SeededRandom, SystemClock} from '@papayarun/protocol';
 import type {ClaimView} from '@papayarun/releases';
 import {ControlStore} from '@papayarun/releases';
 import {FolderDisk, Replica} from '@papayarun/replication';
@@ -40,7 +35,13 @@
 import {Metrics} from '../metrics/metrics.js';
 import {operatorRoutes} from '../operator_api/operator_routes.js';
 import {ReleasePolicy} from '../release_policy/release_policy.js';
+import {linkedPeersOf} from '../members/linked_peers_of.js';
+import {replicaInstancesOf} from '../members/replica_instances_of.js';
+import {gaugesOf} from './gauges_of.js';
 import type {InstanceKeys} from './instance_keys.js';
+import type {InstanceParts} from './instance_parts.js';
+import {statusOf} from './status_of.js';
+import {waitForRelease} from './wait_for_release.js';
 
 const COMPACT_AFTER_ENTRIES = 512;
 const MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
@@ -52,7 +53,6 @@
 const SWEEP_PERIOD_MS = 200;
 /** Heartbeats for which a former keeper goes on after a handover. */
 const HANDOVER_HEARTBEATS = 3;
-const READY_PERIOD_MS = 100;
 const DRAIN_POLL_MS = 20;
 const LEAVE_TIMEOUT_MS = 3_000;
 const ANNOUNCE_INTERVAL_MS = 1_000;
@@ -145,7 +145,7 @@
       {
         self: this.self,
         key: this.keys.peer,
-        peers: this.linkedPeers(),
+        peers: linkedPeersOf(this.cfg),
         clock: this.clock,
         random: this.random,
         maxFrameBytes: limits.peerFrameBytes,
@@ -165,26 +165,6 @@
     );
   }
 
-  /** Instances of this data centre, and all replicas; a replica links to all. */
-  private linkedPeers(): Array<{
-    instanceId: InstanceId;
-    dataCentre: DataCentreId;
-    host: string;
-    port: number;
-    replica: boolean;
-  }> {
-    const {members} = this.cfg.peers;
-    const isReplica = this.cfg.dataDir !== undefined;
-    return members
-      .filter(m => m.instanceId !== this.self)
-      .filter(m => isReplica || m.replica || m.dataCentre === this.dataCentre)
-      .map(m => ({
-        ...m,
-        instanceId: m.instanceId as InstanceId,
-        dataCentre: m.dataCentre as DataCentreId,
-      }));
-  }
-
   private createMembership(): void {
     const {timing} = this.cfg;
     this.membership = Membership.create({
@@ -238,7 +218,7 @@
       random: this.random,
       disk: this.disk,
       log: this.log,
-      replicaInstances: this.replicaInstances(),
+      replicaInstances: replicaInstancesOf(this.cfg),
       electionTimeoutMs: this.cfg.timing.electionTimeoutMs,
       compactAfter: COMPACT_AFTER_ENTRIES,
       makeReplicaId: () => randomUUID() as ReplicaId,
@@ -259,7 +239,7 @@
       clock: this.clock,
       store: this.store,
       replica: this.replica,
-      replicaInstances: this.replicaInstances(),
+      replicaInstances: replicaInstancesOf(this.cfg),
       leaderTimeoutMs: LEADER_TIMEOUT_MS,
     });
     this.store.onChange((before, after) => {
@@ -442,14 +422,16 @@
           registry: this.registry,
           keeper: this.keeper,
           metrics: this.metrics,
-          status: () => this.status(),
+          status: () => statusOf(this.parts()),
           propose: command => this.control.propose(command),
           formCluster: () =>
             formCluster(
               this.network,
               this.replica,
-              this.replicaInstances(),
-              this.otherInstances(),
+              replicaInstancesOf(this.cfg),
+              linkedPeersOf(this.cfg)
+                .filter(peer => !peer.replica)
+                .map(peer => peer.instanceId),
             ),
           drain: () => void this.drain(),
         }),
@@ -463,13 +445,13 @@
   }
 
   private start(): void {
-    this.metrics.addGauges(() => this.gauges());
+    this.metrics.addGauges(() => gaugesOf(this.parts()));
     this.network.start();
     this.membership.start();
     this.replica?.start();
     this.viewKeeper.start();
     void this.sweepLoop();
-    void this.readyLoop();
+    void this.becomeReady();
     this.log.emit('started', {
       dataCentre: this.dataCentre,
       boot: this.membership.boot,
@@ -537,42 +519,21 @@
     return this.currency.ageMs() > this.cfg.timing.cutOffAfterMs;
   }
 
-  private replicaInstances(): InstanceId[] {
-    return this.cfg.peers.members
-      .filter(m => m.replica)
-      .map(m => m.instanceId as InstanceId);
-  }
-
-  private otherInstances(): InstanceId[] {
-    return this.linkedPeers()
-      .filter(m => !m.replica)
-      .map(m => m.instanceId);
-  }
-
-  /** Ready once the release in force is known, or the best one in a cut. */
-  private async readyLoop(): Promise<void> {
-    const startedMs = this.clock.now();
-    while (this.state === 'starting' && !this.stopping.signal.aborted) {
-      const index = await this.control.readIndex();
-      const isCurrent =
-        index !== undefined && this.store.index >= index && index > 0;
-      const waitedMs = this.clock.now() - startedMs;
-      const isBestInCut =
-        index === undefined &&
-        this.store.index > 0 &&
-        waitedMs >
-          this.cfg.timing.cutOffAfterMs + this.cfg.timing.peerTimeoutMs;
-      if ((isCurrent || isBestInCut) && this.state === 'starting') {
-        this.state = 'ready';
-        this.membership.invalidate();
-        this.log.emit('ready', {
-          release: this.policy.release(),
-          current: isCurrent,
-        });
-        return;
-      }
-      await this.clock.sleep(READY_PERIOD_MS, this.stopping.signal);
+  private async becomeReady(): Promise<void> {
+    const {cutOffAfterMs, peerTimeoutMs} = this.cfg.timing;
+    const current = await waitForRelease({
+      clock: this.clock,
+      control: this.control,
+      store: this.store,
+      cutOffMs: cutOffAfterMs + peerTimeoutMs,
+      ending: this.stopping.signal,
+    });
+    if (current === undefined || this.state !== 'starting') {
+      return;
     }
+    this.state = 'ready';
+    this.membership.invalidate();
+    this.log.emit('ready', {release: this.policy.release(), current});
   }
 
   private async sweepLoop(): Promise<void> {
@@ -637,45 +598,21 @@
     };
   }
 
-  private status(): Record<string, unknown> {
-    const {state} = this.store;
+  private parts(): InstanceParts {
     return {
-      instanceId: this.self,
+      self: this.self,
       dataCentre: this.dataCentre,
-      boot: this.membership.boot,
       state: this.state,
-      release: state.release,
-      stateIndex: this.store.index,
-      stateDigest: fingerprint(this.store.serialize()),
-      cutOff: this.isCutOff(),
-      view: state.views[this.dataCentre],
-      seat: this.seat.isSynced()
-        ? 'synced'
-        : this.seat.memberView()
-          ? 'joining'
-          : 'none',
-      replica: this.replica?.status(),
-      linked: this.network.linked(),
-      callersPort: this.callers.port,
-    };
-  }
-
-  private gauges(): Record<string, number> {
-    const {counts} = this.keeper;
-    return {
-      release: this.policy.release(),
-      cut_off: this.isCutOff() ? 1 : 0,
-      callers_in_progress: this.callers.inProgress,
-      forwards: this.router.forwards,
-      claims: this.table.size,
-      claim_kept_bytes: this.table.keptBytes,
-      target_sends: counts.sends,
-      target_busy_refusals: counts.busyRefusals,
-      target_unreachable: counts.unreachable,
-      target_retries: counts.retries,
-      target_hedges: counts.hedges,
-      target_ejections: counts.ejections,
-      live_peers: this.membership.livePeers().length,
+      isCutOff: this.isCutOff(),
+      network: this.network,
+      membership: this.membership,
+      store: this.store,
+      replica: this.replica,
+      keeper: this.keeper,
+      router: this.router,
+      table: this.table,
+      seat: this.seat,
+      callers: this.callers,
     };
   }
 }
--- a/packages/dispatch/src/_lib/kind_queue.ts
+++ b/packages/dispatch/src/_lib/kind_queue.ts
@@ -79,19 +79,21 @@
   /**
    * Entries that start before a new one of a caller.
    *
-   * @description All that are more urgent, and of its own level as many of
-   * each other caller as of its own, since callers take turns.
+   * @description All that are more urgent, and as many turns of its own level
+   * as it has entries before: callers that wait keep coming, so in each turn
+   * every one of them starts one.
    */
   ahead(urgency: number, caller: CallerId): number {
     const level = this.levels[urgency]!;
     const own = level.get(caller)?.size ?? 0;
-    let ahead = this.sizeByUrgency
+    const moreUrgent = this.sizeByUrgency
       .slice(urgency + 1)
       .reduce((sum, n) => sum + n, 0);
+    let waitingCallers = 0;
     for (const queue of level.values()) {
-      ahead += Math.min(queue.size, own + 1);
+      waitingCallers += queue.size > 0 ? 1 : 0;
     }
-    return Math.min(ahead, this.size);
+    return moreUrgent + waitingCallers * (own + 1);
   }
 
   private count(urgency: number, by: 1 | -1): void {
--- a/packages/dispatch/src/keeper/keeper.ts
+++ b/packages/dispatch/src/keeper/keeper.ts
@@ -1,5 +1,6 @@
 import type {Outcome, PoolDigest, ServiceId, Work} from '@papayarun/protocol';
 import {DispatchError, refusalOf} from '@papayarun/protocol';
+import {MergedSignal} from '../_lib/merged_signal.js';
 import {Pool} from '../pool/pool.js';
 import type {Slot} from '../pool/slot.js';
 import {RetryBudget} from '../retry_budget/retry_budget.js';
@@ -84,21 +85,17 @@
    * @returns The outcome; errors are refusals in it.
    */
   async run(work: Work, signal: AbortSignal): Promise<Outcome> {
-    const deadline = new AbortController();
-    const timer = setTimeout(
-      () =>
-        deadline.abort(
-          DispatchError.notRun('deadline', 'the deadline has passed'),
-        ),
+    const ending = MergedSignal.create([signal]);
+    ending.abortAfter(
       work.deadlineMs,
+      DispatchError.notRun('deadline', 'the deadline has passed'),
     );
-    const waitSignal = AbortSignal.any([signal, deadline.signal]);
     try {
-      return await this.sendUntilDone(work, waitSignal);
+      return await this.sendUntilDone(work, ending.signal);
     } catch (err) {
       return this.refused(work, err);
     } finally {
-      clearTimeout(timer);
+      ending.dispose();
     }
   }
 
@@ -148,15 +145,31 @@
     signal: AbortSignal,
   ): Promise<SendResult> {
     const hedgeAfterMs = this.hedgeDelay(pool, work);
-    if (hedgeAfterMs === undefined) {
-      return this.sendTo(
-        pool,
-        slot,
-        work,
-        work.repeatable ? signal : this.runLimit(),
-      );
+    if (hedgeAfterMs !== undefined) {
+      return this.sendHedged(pool, slot, work, signal, hedgeAfterMs);
+    }
+    const mayStop = work.repeatable || work.needs !== undefined;
+    return mayStop
+      ? this.sendTo(pool, slot, work, signal)
+      : this.sendToTheEnd(pool, slot, work);
+  }
+
+  /** Sends work that must not be cut off by its deadline once it was sent. */
+  private async sendToTheEnd(
+    pool: Pool,
+    slot: Slot,
+    work: Work,
+  ): Promise<SendResult> {
+    const limit = MergedSignal.create([]);
+    limit.abortAfter(
+      MAX_UNREPEATABLE_RUN_MS,
+      DispatchError.mayHaveRun('deadline', 'no answer within the run limit'),
+    );
+    try {
+      return await this.sendTo(pool, slot, work, limit.signal);
+    } finally {
+      limit.dispose();
     }
-    return this.sendHedged(pool, slot, work, signal, hedgeAfterMs);
   }
 
   /** Sends, and once more after a while if no answer came; first answer wins. */
@@ -168,41 +181,46 @@
     hedgeAfterMs: number,
   ): Promise<SendResult> {
     const startedMs = this.opts.clock.now();
-    const lost = DispatchError.notRun(
-      'cancelled',
-      'the other send answered first',
-    );
-    const firstEnd = new AbortController();
-    const secondEnd = new AbortController();
-    const first = this.sendTo(
-      pool,
-      slot,
-      work,
-      AbortSignal.any([signal, firstEnd.signal]),
-    );
+    const firstEnd = MergedSignal.create([signal]);
+    const secondEnd = MergedSignal.create([signal]);
+    try {
+      const first = this.sendTo(pool, slot, work, firstEnd.signal);
+      const early = await this.within(first, hedgeAfterMs);
+      if (early || signal.aborted || !this.isStraggler(pool, startedMs)) {
+        return early ?? (await first);
+      }
+      this.counts.hedges++;
+      this.opts.log.emit('hedged', {
+        requestId: work.requestId,
+        target: slot.record.id,
+        hedgeAfterMs,
+      });
+      const second = pool
+        .acquire(work, secondEnd.signal)
+        .then(other => this.sendTo(pool, other, work, secondEnd.signal));
+      return await firstGood(first, second);
+    } finally {
+      const lost = DispatchError.notRun(
+        'cancelled',
+        'the other send answered first',
+      );
+      firstEnd.abort(lost);
+      secondEnd.abort(lost);
+      firstEnd.dispose();
+      secondEnd.dispose();
+    }
+  }
+
+  /** The result if it comes within a time, else undefined. */
+  private async within(
+    result: Promise<SendResult>,
+    ms: number,
+  ): Promise<SendResult | undefined> {
     const timer = new AbortController();
-    const early = await Promise.race([
-      first,
-      this.opts.clock.sleep(hedgeAfterMs, timer.signal).then(() => undefined),
-    ]);
+    const late = this.opts.clock.sleep(ms, timer.signal).then(() => undefined);
+    const early = await Promise.race([result, late]);
     timer.abort();
-    if (early || signal.aborted || !this.isStraggler(pool, startedMs)) {
-      return early ?? first;
-    }
-    this.counts.hedges++;
-    this.opts.log.emit('hedged', {
-      requestId: work.requestId,
-      target: slot.record.id,
-      hedgeAfterMs,
-    });
-    const secondSignal = AbortSignal.any([signal, secondEnd.signal]);
-    const second = pool
-      .acquire(work, secondSignal)
-      .then(other => this.sendTo(pool, other, work, secondSignal));
-    const winner = await firstGood(first, second);
-    firstEnd.abort(lost);
-    secondEnd.abort(lost);
-    return winner;
+    return early;
   }
 
   /** Whether a run is slow while the others aren't, and a hedge is affordable. */
@@ -222,22 +240,6 @@
     return quantileMs && Math.max(MIN_HEDGE_MS, HEDGE_FACTOR * quantileMs);
   }
 
-  private runLimit(): AbortSignal {
-    const limit = new AbortController();
-    const timer = setTimeout(
-      () =>
-        limit.abort(
-          DispatchError.mayHaveRun(
-            'deadline',
-            'no answer within the run limit',
-          ),
-        ),
-      MAX_UNREPEATABLE_RUN_MS,
-    );
-    timer.unref();
-    return limit.signal;
-  }
-
   private async sendTo(
     pool: Pool,
     slot: Slot,
@@ -324,7 +326,6 @@
       this.noteKept(record, isKept);
     }
     pool.update(record);
-    pool.wake();
   }
 
   private noteKept(record: TargetRecord, isKept: boolean): void {
--- a/packages/dispatch/src/pool/pool.ts
+++ b/packages/dispatch/src/pool/pool.ts
@@ -49,6 +49,8 @@
   readonly runTimes = RunTimes.create();
   private readonly members = new Map<TargetId, TargetRecord>();
   private readonly open = new Set<TargetRecord>();
+  /** Slots of each member that are counted in `slots`. */
+  private readonly allowed = new Map<TargetRecord, number>();
   private readonly teamBusy = new Map<string, number>();
   private readonly kindBusy = new Map<KindId, number>();
   private readonly startRates = new Map<KindId, RateMeter>();
@@ -95,21 +97,35 @@
 
   /** Takes a target's new state: adds, updates or drops it. */
   update(record: TargetRecord): void {
-    if (record.kept && record.announcement.state === 'ready') {
+    const isMember = record.kept && record.announcement.state === 'ready';
+    const allowed = isMember ? this.allowedOf(record) : 0;
+    if (isMember && this.allowed.get(record) === allowed) {
+      // Nothing but the time it was heard, or a worker's usage, has changed.
+      if (this.fairQueue.waiting > 0) {
+        this.startMore();
+      }
+      return;
+    }
+    if (isMember) {
       this.members.set(record.id, record);
     } else {
-      this.members.delete(record.id);
-      this.open.delete(record);
-      if (this.reserved?.record === record) {
-        this.reserved = undefined;
-      }
+      this.drop(record);
     }
-    this.recount();
+    this.wake();
     if (this.members.size === 0) {
       this.refuseWaiting();
     }
   }
 
+  private drop(record: TargetRecord): void {
+    this.members.delete(record.id);
+    this.open.delete(record);
+    this.allowed.delete(record);
+    if (this.reserved?.record === record) {
+      this.reserved = undefined;
+    }
+  }
+
   /** Targets that this pool sends to. */
   targets(): TargetRecord[] {
     return [...this.members.values()];
@@ -218,6 +234,11 @@
   /** Looks again for work that can start, after room was found. */
   wake(): void {
     this.recount();
+    this.startMore();
+  }
+
+  private startMore(): void {
+    // Setting it makes p-queue look at its queue again.
     this.pqueue.concurrency = Number.POSITIVE_INFINITY;
   }
 
@@ -474,6 +495,7 @@
     this.busy = 0;
     for (const record of records) {
       const allowed = this.allowedOf(record);
+      this.allowed.set(record, allowed);
       this.slots += allowed;
       this.busy += Math.min(record.inFlight, allowed);
       const isOpen = this.open.has(record);
--- a/packages/dispatch/src/target_client/target_client.ts
+++ b/packages/dispatch/src/target_client/target_client.ts
@@ -2,6 +2,7 @@
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import type {Outcome, Refusal, TargetId, Work} from '@papayarun/protocol';
 import {DispatchError} from '@papayarun/protocol';
+import {MergedSignal} from '../_lib/merged_signal.js';
 import type {TargetRecord} from '../target_registry/target_record.js';
 import type {SendResult} from './send_result.js';
 import type {TargetClientOptions} from './target_client_options.js';
@@ -65,14 +66,14 @@
     if (record.announcement.worker) {
       void this.renewLoop(record, work, lease);
     }
-    const ended = AbortSignal.any([signal, lease.signal]);
+    const ended = MergedSignal.create([signal, lease.signal]);
     let result: Omit<SendResult, 'runMs'>;
     try {
       const received = await this.exchange(
         record,
         work,
         release,
-        ended,
+        ended.signal,
         progress,
       );
       result = judge(received, work, release);
@@ -91,6 +92,7 @@
         void this.control(record, work, 'stop');
       }
     } finally {
+      ended.dispose();
       lease.abort();
     }
     return {...result, runMs: this.opts.clock.now() - startedMs};
--- a/packages/stand_ins/src/index.ts
+++ b/packages/stand_ins/src/index.ts
@@ -1,4 +1,7 @@
 export * from './caller/caller.js';
+export * from './capacity/capacity_size.js';
+export * from './capacity/render_capacity.js';
+export * from './capacity/slopes_document.js';
 export * from './cluster/cluster.js';
 export * from './cluster/cluster_member.js';
 export * from './cluster/test_timing.js';
