Smaller modules; the expected wait never falls below the guaranteed share

Cause: (1) the measured start rate alone took a kind that had wanted little for one that is served slowly, and would have refused a burst of it. (2) After announcements no longer recounted a pool, the count of busy slots could drift when a target with requests in progress was ejected. (3) Claims, pool, replica and the instance's composition had grown long.

Change: the rate is the larger of the guaranteed share over all active kinds and the measured one, over two seconds; busy slots change by what the target's allowed slots cover; recording of claims, placement, votes and sightings of replicas are modules of their own.

--- a/packages/claims/src/claims/claims.ts
+++ b/packages/claims/src/claims/claims.ts
@@ -1,19 +1,12 @@
 import type {
-  ClaimCall,
-  ClaimId,
   ClaimRecord,
   InstanceId,
   Outcome,
   OwnerAnswerCall,
   RequestKey,
 } from '@papayarun/protocol';
-import {
-  DispatchError,
-  parseRequestKey,
-  refusalOf,
-  rendezvousOrder,
-} from '@papayarun/protocol';
-import type {ClaimView} from '@papayarun/releases';
+import {DispatchError, parseRequestKey, refusalOf} from '@papayarun/protocol';
+import {ClaimRecorder} from '../claim_recorder/claim_recorder.js';
 import type {ClaimsOptions} from './claims_options.js';
 
 const MS_PER_SECOND = 1000;
@@ -22,13 +15,6 @@
 const DONE = 'done';
 const MAX_SHARED_ANSWER_BYTES = 64 * 1024;
 
-/** What came of one attempt to claim an id. */
-type Attempt =
-  | {readonly kind: 'won'; readonly record: ClaimRecord}
-  | {readonly kind: 'held'; readonly record: ClaimRecord}
-  | {readonly kind: 'retry'; readonly reason: string}
-  | {readonly kind: 'full'};
-
 /**
  * Lets the work of an id start at most once in its data centre.
  *
@@ -38,10 +24,11 @@
  */
 export class Claims {
   private readonly running = new Map<string, Promise<Outcome>>();
-  /** Attempts to claim that have not ended. */
-  private readonly claiming = new Set<ClaimId>();
 
-  private constructor(private readonly opts: ClaimsOptions) {}
+  private constructor(
+    private readonly opts: ClaimsOptions,
+    private readonly recorder: ClaimRecorder,
+  ) {}
 
   /**
    * Makes claims and takes over their messages.
@@ -52,15 +39,8 @@
    * const claims = Claims.create(opts);
    */
   static create(opts: ClaimsOptions): Claims {
-    const claims = new Claims(opts);
+    const claims = new Claims(opts, ClaimRecorder.create(opts));
     const {network, table} = opts;
-    network.onCall('claim', (_from, req) =>
-      Promise.resolve(claims.onClaim(req)),
-    );
-    network.onCall('releaseClaim', (_from, {id, claimId}) => {
-      table.release(id, claimId);
-      return Promise.resolve({ok: true});
-    });
     network.onCall('ownerAnswer', (_from, req) => claims.onOwnerAnswer(req));
     network.onNotice('claimAnswered', (_from, {id, claimId, outcome}) => {
       table.settle(id, claimId, outcome);
@@ -98,7 +78,7 @@
       this.checkKey(parseRequestKey(id, 'papayarun-id'));
       for (;;) {
         signal.throwIfAborted();
-        const attempt = await this.claim(id, fingerprint);
+        const attempt = await this.recorder.claim(id, fingerprint);
         const leftMs = waitMs - (this.opts.clock.now() - startedMs);
         switch (attempt.kind) {
           case 'won':
@@ -211,153 +191,6 @@
     }
   }
 
-  /** Records a claim on every member, the deciding one first. */
-  private async claim(id: string, fingerprint: string): Promise<Attempt> {
-    const {table, seat, network, membership} = this.opts;
-    const view = seat.memberView();
-    if (!view || !seat.isSynced()) {
-      return {
-        kind: 'retry',
-        reason: 'this instance is not yet a member of the claim view',
-      };
-    }
-    const {generation} = parseRequestKey(id, 'papayarun-id');
-    if (generation > view.generation) {
-      return {
-        kind: 'retry',
-        reason: 'the id is of a generation that is not known here',
-      };
-    }
-    // Checked against the very view that the claim is made in: the generation
-    // may have changed since the request came.
-    if (generation < view.generation) {
-      throw DispatchError.mayHaveRun(
-        'generationClosed',
-        'the claims made with this id were lost; take a new prefix for new requests',
-      );
-    }
-    const known = table.get(id);
-    if (known) {
-      return {kind: 'held', record: known};
-    }
-    if (table.isFull()) {
-      return {kind: 'full'};
-    }
-    const record: ClaimRecord = {
-      id,
-      claimId: this.opts.makeClaimId() as ClaimId,
-      owner: network.self,
-      ownerBoot: membership.boot,
-      fingerprint,
-    };
-    const others = view.members
-      .map(m => m.instanceId)
-      .filter(m => m !== network.self);
-    const first = rendezvousOrder(
-      id,
-      view.members.map(m => m.instanceId),
-    )[0]!;
-    this.claiming.add(record.claimId);
-    const attempt = await this.recordEverywhere(view, record, first, others);
-    if (attempt.kind !== 'won') {
-      await this.release(record, others);
-    }
-    this.claiming.delete(record.claimId);
-    return attempt;
-  }
-
-  private async recordEverywhere(
-    view: ClaimView,
-    record: ClaimRecord,
-    first: InstanceId,
-    others: readonly InstanceId[],
-  ): Promise<Attempt> {
-    const {table, seat, network} = this.opts;
-    if (first !== network.self) {
-      const decided = await this.recordAt(first, view.epoch, record);
-      if (decided.kind !== 'won') {
-        return decided;
-      }
-      if (seat.memberView()?.epoch !== view.epoch) {
-        return {kind: 'retry', reason: 'the claim view changed'};
-      }
-      const known = table.get(record.id);
-      if (known) {
-        return {kind: 'held', record: known};
-      }
-    }
-    table.put(record);
-    const rest = others.filter(member => member !== first);
-    const attempts = await Promise.all(
-      rest.map(member => this.recordAt(member, view.epoch, record)),
-    );
-    return (
-      attempts.find(attempt => attempt.kind !== 'won') ?? {kind: 'won', record}
-    );
-  }
-
-  private async recordAt(
-    member: InstanceId,
-    epoch: number,
-    record: ClaimRecord,
-  ): Promise<Attempt> {
-    let res: ClaimCall['res'];
-    try {
-      const opts = {timeoutMs: MEMBER_TIMEOUT_MS};
-      res = await this.opts.network.call(
-        member,
-        'claim',
-        {epoch, record},
-        opts,
-      );
-    } catch {
-      return {kind: 'retry', reason: `${member} did not answer`};
-    }
-    switch (res.kind) {
-      case 'recorded':
-        return {kind: 'won', record};
-      case 'held':
-        return {kind: 'held', record: res.record};
-      case 'full':
-        return {kind: 'full'};
-      case 'wrongView':
-        return {kind: 'retry', reason: `${member} is in epoch ${res.epoch}`};
-      default:
-        return res satisfies never;
-    }
-  }
-
-  private onClaim(req: ClaimCall['req']): ClaimCall['res'] {
-    const {seat, table, network} = this.opts;
-    const {record} = req;
-    const view = seat.memberView();
-    const isOwnerSeated = view?.members.some(
-      m => m.instanceId === record.owner && m.boot === record.ownerBoot,
-    );
-    if (!view || view.epoch !== req.epoch || !isOwnerSeated) {
-      return {kind: 'wrongView', epoch: view?.epoch ?? 0};
-    }
-    const decides =
-      rendezvousOrder(
-        record.id,
-        view.members.map(m => m.instanceId),
-      )[0] === network.self;
-    if (decides && !seat.isSynced()) {
-      return {kind: 'wrongView', epoch: view.epoch};
-    }
-    const known = table.get(record.id);
-    if (known && known.claimId !== record.claimId) {
-      return {kind: 'held', record: known};
-    }
-    if (!known && table.isFull()) {
-      return {kind: 'full'};
-    }
-    if (!known) {
-      table.put(record);
-    }
-    return {kind: 'recorded'};
-  }
-
   private execute(
     record: ClaimRecord,
     run: () => Promise<Outcome>,
@@ -377,12 +210,12 @@
     } catch (err) {
       outcome = {kind: 'refused', refusal: refusalOf(err)};
     }
-    const members = this.otherMembers();
+    const members = this.recorder.otherMembers();
     if (
       outcome.kind === 'refused' &&
       outcome.refusal.verdict.kind === 'notRun'
     ) {
-      await this.release(record, members);
+      await this.recorder.release(record);
     } else {
       this.opts.table.settle(record.id, record.claimId, outcome);
       this.shareOutcome(record, outcome, members);
@@ -408,27 +241,6 @@
     }
   }
 
-  /** Withdraws a claim everywhere, so that a resend may start. */
-  private async release(
-    record: ClaimRecord,
-    members: readonly InstanceId[],
-  ): Promise<void> {
-    const {id, claimId} = record;
-    this.opts.table.release(id, claimId);
-    await Promise.all(
-      members.map(member =>
-        this.opts.network
-          .call(
-            member,
-            'releaseClaim',
-            {id, claimId},
-            {timeoutMs: MEMBER_TIMEOUT_MS},
-          )
-          .catch(() => undefined),
-      ),
-    );
-  }
-
   /** Outcome of an id that is claimed, or undefined to try to claim it again. */
   private async heldOutcome(
     record: ClaimRecord,
@@ -491,7 +303,7 @@
         throw ownerLost();
       case 'unknown':
         // That attempt has ended without a start, so it may be forgotten.
-        await this.release(record, this.otherMembers());
+        await this.recorder.release(record);
         return undefined;
       default:
         return res satisfies never;
@@ -506,7 +318,7 @@
       const outcome = await this.inTime(running, req.waitMs);
       return outcome ? {kind: 'done', outcome} : {kind: 'running'};
     }
-    if (this.claiming.has(req.claimId)) {
+    if (this.recorder.isPending(req.claimId)) {
       return {kind: 'pending'};
     }
     const outcome = this.opts.table.get(req.id)?.outcome;
@@ -539,13 +351,6 @@
     done.abort(DONE);
     return outcome;
   }
-
-  private otherMembers(): InstanceId[] {
-    const members = this.opts.view()?.members ?? [];
-    return members
-      .map(m => m.instanceId)
-      .filter(id => id !== this.opts.network.self);
-  }
 }
 
 function ownerLost(): DispatchError {
--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -1,3 +1,5 @@
+export * from './claim_recorder/claim_attempt.js';
+export * from './claim_recorder/claim_recorder.js';
 export * from './claim_table/claim_table.js';
 export * from './claims/claims.js';
 export * from './claims/claims_options.js';
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -128,6 +128,8 @@
     instance.createControl();
     instance.createDispatch();
     instance.createClaims();
+    instance.createViewKeeper();
+    instance.createJobs();
     await instance.listen();
     instance.start();
     return instance;
@@ -304,8 +306,7 @@
   private createClaims(): void {
     const {network, membership, clock, log, cfg} = this;
     const {claimWindowMs, clockSkewMs} = cfg.timing;
-    const view = (): ClaimView | undefined =>
-      this.store.state.views[this.dataCentre];
+    const view = (): ClaimView | undefined => this.view();
     this.table = ClaimTable.create(
       cfg.limits.claims,
       cfg.limits.keptAnswerBytes,
@@ -340,6 +341,10 @@
       instanceIn: dataCentre => this.instanceIn(dataCentre),
       ending: this.stopping.signal,
     });
+  }
+
+  private createViewKeeper(): void {
+    const {clock, log, membership, cfg} = this;
     this.viewKeeper = ViewKeeper.create({
       self: this.self,
       dataCentre: this.dataCentre,
@@ -348,11 +353,15 @@
       membership,
       seat: this.seat,
       periodMs: cfg.timing.heartbeatMs,
-      view,
+      view: () => this.view(),
       propose: command => this.control.propose(command).catch(() => undefined),
       renew: () => this.renew(),
       isCurrent: () => this.state !== 'starting' && !this.isCutOff(),
     });
+  }
+
+  private createJobs(): void {
+    const {clock, log, network} = this;
     const runner = JobRunner.create({
       clock,
       log,
@@ -370,8 +379,13 @@
   }
 
   private async listen(): Promise<void> {
+    this.callers = await this.listenForCallers();
+    this.operators = await this.listenForOperators();
+  }
+
+  private listenForCallers(): Promise<HttpApp> {
     const {cfg, log} = this;
-    this.callers = await HttpApp.create(
+    return HttpApp.create(
       {
         log,
         routes: callerRoutes({
@@ -409,7 +423,11 @@
       },
       cfg.callers,
     );
-    this.operators = await HttpApp.create(
+  }
+
+  private listenForOperators(): Promise<HttpApp> {
+    const {cfg, log} = this;
+    return HttpApp.create(
       {
         log,
         routes: operatorRoutes({
@@ -515,6 +533,10 @@
     return this.cfg.peers.members.some(m => m.dataCentre === dataCentre);
   }
 
+  private view(): ClaimView | undefined {
+    return this.store.state.views[this.dataCentre];
+  }
+
   private isCutOff(): boolean {
     return this.currency.ageMs() > this.cfg.timing.cutOffAfterMs;
   }
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -8,6 +8,7 @@
 export * from './job_runner/job_runner_options.js';
 export * from './keeper/keeper.js';
 export * from './keeper/keeper_options.js';
+export * from './placement/placement.js';
 export * from './policy/policy.js';
 export * from './pool/allowed_slots.js';
 export * from './pool/expected_wait.js';
--- a/packages/dispatch/src/keeper/keeper.test.ts
+++ b/packages/dispatch/src/keeper/keeper.test.ts
@@ -180,6 +180,12 @@
     await bench.runMany(600, 20, 5);
     const after = bad.reduce((sum, target) => sum + target.totalStarts, 0);
     expect(after - before).toBeGreaterThan(50);
+    expect(bench.keeper.digests()[SERVICE]).toMatchObject({
+      slots: 24,
+      free: 24,
+      queued: 0,
+      kinds: {},
+    });
   });
 
   it('goes on trying when all targets fail, one request at a time each', async () => {
--- a/packages/dispatch/src/pool/pool.ts
+++ b/packages/dispatch/src/pool/pool.ts
@@ -10,9 +10,9 @@
 import PQueue from 'p-queue';
 import {FairQueue} from '../fair_queue/fair_queue.js';
 import type {QueueEntry} from '../fair_queue/queue_entry.js';
-import {addResources} from '../resources/add_resources.js';
 import {fitsIn} from '../resources/fits_in.js';
-import {freeResources} from '../resources/free_resources.js';
+import {addTo} from '../_lib/add_to.js';
+import {Placement} from '../placement/placement.js';
 import {RateMeter} from '../rate_meter/rate_meter.js';
 import {RunTimes} from '../run_times/run_times.js';
 import type {TargetRecord} from '../target_registry/target_record.js';
@@ -21,23 +21,15 @@
 import type {PoolOptions} from './pool_options.js';
 import type {Slot} from './slot.js';
 
-/** Targets looked at for one placement. */
-const CANDIDATES = 32;
 /** Alternatives named in a decision's log line. */
 const LOGGED_ALTERNATIVES = 4;
-/** Wait after which a task that doesn't fit gets a worker reserved. */
-const RESERVE_AFTER_MS = 3_000;
 /** Smallest number of waiting places of a kind. */
 const MIN_KIND_PLACES = 64;
 /** Part of the targets that may be ejected before the rest would drown. */
 const MAX_EJECTED_PART = 0.5;
-const RACK_PENALTY = 0.25;
 /** Factor on the expected wait, so that admitted work is seldom late. */
 const WAIT_SAFETY = 1.25;
 const LONG_RUN_PERCENTILE = 90;
-/** Starts a second from which the rate of a kind is trusted. */
-const MIN_KNOWN_RATE = 3;
-const MS_PER_SECOND = 1_000;
 
 /**
  * The kept targets of one service and the work that waits for them.
@@ -57,15 +49,12 @@
   private readonly callerBusy = new Map<string, number>();
   /** Ends the wait of entries that wait. */
   private readonly waiters = new Map<QueueEntry, (err: Error) => void>();
-  /** Running tasks by job and rack. */
-  private readonly jobRacks = new Map<string, number>();
+  private readonly placement = Placement.create();
   private readonly fairQueue: FairQueue;
   private readonly pqueue: PQueue;
   private tooManyEjected = false;
   private slots = 0;
   private busy = 0;
-  private reserved:
-    {readonly record: TargetRecord; readonly entry: QueueEntry} | undefined;
 
   private constructor(private readonly opts: PoolOptions) {
     const fairQueue = FairQueue.create({
@@ -121,9 +110,7 @@
     this.members.delete(record.id);
     this.open.delete(record);
     this.allowed.delete(record);
-    if (this.reserved?.record === record) {
-      this.reserved = undefined;
-    }
+    this.placement.forget(record);
   }
 
   /** Targets that this pool sends to. */
@@ -304,26 +291,25 @@
     );
   }
 
-  /** Wait by the rate at which the kind was started lately, else by its share. */
   private waitOf(work: Work): number {
     const {policy, clock} = this.opts;
-    const ahead = this.fairQueue.waitingAhead(work);
-    const perSecond =
-      this.startRates.get(work.kind)?.perSecond(clock.now()) ?? 0;
-    if (ahead > 0 && perSecond >= MIN_KNOWN_RATE) {
-      return ((ahead + 1) * MS_PER_SECOND) / perSecond;
-    }
-    const contending = new Set([...this.fairQueue.backlogged(), work.kind]);
-    const contendingWeight = [...contending].reduce(
+    const active = new Set([
+      ...this.kindBusy.keys(),
+      ...this.fairQueue.backlogged(),
+      work.kind,
+    ]);
+    const activeWeight = [...active].reduce(
       (sum, k) => sum + policy.weightOf(k),
       0,
     );
     return expectedWait({
-      ahead,
+      ahead: this.fairQueue.waitingAhead(work),
       runMs: this.runTimes.expectedMs(work.kind, work.declaredRunMs),
       slots: this.slots,
       weight: policy.weightOf(work.kind),
-      contendingWeight,
+      activeWeight,
+      startsPerSecond:
+        this.startRates.get(work.kind)?.perSecond(clock.now()) ?? 0,
     });
   }
 
@@ -334,10 +320,10 @@
     if (!entry.work.needs) {
       return this.open.size > 0;
     }
-    if (this.pick(entry)) {
+    if (this.placement.pick(this.open, entry)) {
       return true;
     }
-    this.reserveFor(entry);
+    this.placement.reserveFor(entry, this.targets(), this.opts.clock.now());
     return false;
   }
 
@@ -357,70 +343,11 @@
     );
   }
 
-  /** Keeps a worker free for a task that smaller ones would overtake for ever. */
-  private reserveFor(entry: QueueEntry): void {
-    const overdue = this.opts.clock.now() - entry.queuedMs > RESERVE_AFTER_MS;
-    if (!overdue || (this.reserved && !this.reserved.entry.removed)) {
-      return;
-    }
-    const large = this.targets().filter(record =>
-      fitsIn(entry.work.needs!, record.announcement.worker!.total),
-    );
-    const record = large.sort((a, b) => a.placed.cores - b.placed.cores)[0];
-    this.reserved = record && {record, entry};
-  }
-
-  private pick(entry: QueueEntry): TargetRecord | undefined {
-    let best: TargetRecord | undefined;
-    let bestScore = Infinity;
-    let seen = 0;
-    for (const record of this.open) {
-      if (++seen > CANDIDATES && best) {
-        break;
-      }
-      const score = this.scoreOf(record, entry);
-      if (score < bestScore) {
-        best = record;
-        bestScore = score;
-      }
-    }
-    return best;
-  }
-
-  /** Lower is better; infinite when the entry doesn't fit. */
-  private scoreOf(record: TargetRecord, entry: QueueEntry): number {
-    const {worker, slots} = record.announcement;
-    const load = record.inFlight / slots;
-    const {needs} = entry.work;
-    if (!worker || !needs) {
-      return load;
-    }
-    if (this.isReservedForOther(record, entry)) {
-      return Infinity;
-    }
-    const free = freeResources(worker.total, worker.used, record.placed);
-    if (!fitsIn(needs, free)) {
-      return Infinity;
-    }
-    return load + RACK_PENALTY * this.jobTasksIn(worker.rack, entry.work);
-  }
-
-  private jobTasksIn(rack: string, work: Work): number {
-    return this.jobRacks.get(`${work.job} ${rack}`) ?? 0;
-  }
-
-  private isReservedForOther(record: TargetRecord, entry: QueueEntry): boolean {
-    if (!this.reserved || this.reserved.entry.removed) {
-      return false;
-    }
-    return this.reserved.record === record && this.reserved.entry !== entry;
-  }
-
   private start(
     entry: QueueEntry,
     resolve: (slot: Slot) => void,
   ): Promise<void> {
-    const record = this.pick(entry)!;
+    const record = this.placement.pick(this.open, entry)!;
     this.logPlacement(record, entry);
     this.countStart(entry.work.kind);
     this.take(record, entry.work, 1);
@@ -449,22 +376,15 @@
 
   /** Counts work as sent (1) or ended (-1) at a target. */
   private take(record: TargetRecord, work: Work, sign: 1 | -1): void {
+    const allowed = this.allowed.get(record) ?? 0;
+    const busyBefore = Math.min(record.inFlight, allowed);
     record.inFlight += sign;
-    if (work.needs) {
-      record.placed = addResources(record.placed, work.needs, sign);
-    }
-    if (work.job) {
-      addTo(
-        this.jobRacks,
-        `${work.job} ${record.announcement.worker?.rack}`,
-        sign,
-      );
-    }
+    this.placement.count(record, work, sign);
     addTo(this.kindBusy, work.kind, sign);
     addTo(this.teamBusy, work.team, sign);
     addTo(this.callerBusy, work.caller, sign);
     if (this.members.get(record.id) === record) {
-      this.busy += sign;
+      this.busy += Math.min(record.inFlight, allowed) - busyBefore;
       this.reopen(record);
     }
   }
@@ -568,16 +488,3 @@
     fraction >= 1 || (busy ?? 0) < Math.max(1, Math.floor(fraction * slots))
   );
 }
-
-function addTo<K extends string>(
-  counts: Map<K, number>,
-  key: K,
-  sign: 1 | -1,
-): void {
-  const next = (counts.get(key) ?? 0) + sign;
-  if (next === 0) {
-    counts.delete(key);
-  } else {
-    counts.set(key, next);
-  }
-}
--- a/packages/dispatch/src/rate_meter/rate_meter.ts
+++ b/packages/dispatch/src/rate_meter/rate_meter.ts
@@ -1,9 +1,9 @@
-const BUCKETS = 10;
+const BUCKETS = 20;
 const BUCKET_MS = 100;
 const MS_PER_SECOND = 1_000;
 
 /**
- * Rate of events over the last second.
+ * Rate of events over the last two seconds.
  */
 export class RateMeter {
   private readonly counts = new Array<number>(BUCKETS).fill(0);
@@ -28,7 +28,7 @@
     this.counts[this.newest % BUCKETS]!++;
   }
 
-  /** Events a second over the last full buckets. */
+  /** Events a second over the last buckets, the present one too. */
   perSecond(nowMs: number): number {
     this.moveTo(nowMs);
     const total = this.counts.reduce((sum, n) => sum + n, 0);
--- a/packages/replication/src/replica/replica.ts
+++ b/packages/replication/src/replica/replica.ts
@@ -1,7 +1,6 @@
 import type {
   AppendCall,
   FormCall,
-  InstanceId,
   LogEntry,
   ProposeCall,
   ReadIndexCall,
@@ -13,11 +12,11 @@
 import {Journal} from '../journal/journal.js';
 import {JournalAppendError} from '../journal/journal_append_error.js';
 import {nextReplicaSet} from '../next_replica_set/next_replica_set.js';
-import type {ReplicaSighting} from '../next_replica_set/replica_sighting.js';
-import {isQuorum} from '../quorum/is_quorum.js';
 import {ReplicaLog} from '../replica_log/replica_log.js';
+import {gatherVotes} from './gather_votes.js';
 import {Leadership} from './leadership.js';
 import type {ReplicaOptions} from './replica_options.js';
+import {sightReplicas} from './sight_replicas.js';
 
 const PROPOSE_TIMEOUT_FACTOR = 5;
 const NO_COMMAND = new Uint8Array();
@@ -368,40 +367,10 @@
     }
   }
 
-  /** Asks all other voters; true when a majority, with this one, agrees. */
-  private async gatherVotes(term: number, pre: boolean): Promise<boolean> {
-    const {log, opts} = this;
-    const {voters} = log.replicas;
-    const others = voters.filter(ref => ref.replicaId !== log.replicaId);
-    let granted = voters.length - others.length;
-    const answers = others.map(async ref => {
-      const req = {
-        to: ref.replicaId,
-        candidate: log.replicaId,
-        pre,
-        term,
-        lastIndex: log.lastIndex,
-        lastTerm: log.lastTerm,
-      };
-      const timeoutMs = opts.electionTimeoutMs / 2;
-      const res = await opts.network.call(ref.instanceId, 'vote', req, {
-        timeoutMs,
-      });
-      granted += res.granted ? 1 : 0;
-      if (res.term > log.term) {
-        await this.serialize(() => this.adoptTerm(res.term));
-      }
-      if (!isQuorum(granted, voters.length)) {
-        throw new Error('no majority yet');
-      }
-    });
-    if (isQuorum(granted, voters.length)) {
-      return true;
-    }
-    return Promise.any(answers).then(
-      () => true,
-      () => false,
-    );
+  private gatherVotes(term: number, pre: boolean): Promise<boolean> {
+    const onHigherTerm = (higher: number): Promise<void> =>
+      this.serialize(() => this.adoptTerm(higher));
+    return gatherVotes(this.opts, this.log, {term, pre, onHigherTerm});
   }
 
   private async adoptTerm(term: number): Promise<void> {
@@ -467,27 +436,15 @@
     const {clock, electionTimeoutMs} = this.opts;
     while (!leadership.isOver) {
       await clock.sleep(electionTimeoutMs / 2, leadership.endSignal);
-      const isSettled =
-        this.log.commitIndex >= leadership.firstIndex &&
-        this.log.commitIndex >= this.log.replicasIndex;
-      if (leadership.isOver || !isSettled) {
+      if (leadership.isOver || !this.areMembersSettled(leadership)) {
         continue;
       }
-      const seen = await this.sightings();
-      const next = nextReplicaSet(
-        this.log.replicas,
-        seen,
-        id => leadership.matchOf(id) >= this.log.commitIndex,
-      );
-      if (
-        next &&
-        !leadership.isOver &&
-        this.log.commitIndex >= this.log.replicasIndex
-      ) {
-        this.opts.log.emit('replicaSet', {
-          voters: next.voters,
-          learners: next.learners,
-        });
+      const seen = await sightReplicas(this.opts);
+      const isCaughtUp = (id: ReplicaId): boolean =>
+        leadership.matchOf(id) >= this.log.commitIndex;
+      const next = nextReplicaSet(this.log.replicas, seen, isCaughtUp);
+      if (next && !leadership.isOver && this.areMembersSettled(leadership)) {
+        this.opts.log.emit('replicaSet', {...next});
         await this.lead(
           leadership,
           {kind: 'replicas', replicas: next},
@@ -497,31 +454,10 @@
     }
   }
 
-  private async sightings(): Promise<ReplicaSighting[]> {
-    const {network, replicaInstances, electionTimeoutMs} = this.opts;
-    const others = replicaInstances.filter(id => id !== network.self);
-    const seen = await Promise.all(
-      others.map(id => this.sight(id, electionTimeoutMs / 2)),
-    );
-    return seen.filter(sighting => sighting !== undefined);
-  }
-
-  private async sight(
-    instanceId: InstanceId,
-    timeoutMs: number,
-  ): Promise<ReplicaSighting | undefined> {
-    try {
-      const res = await this.opts.network.call(
-        instanceId,
-        'replicaStatus',
-        {},
-        {timeoutMs},
-      );
-      const {replicaId, blank, voter} = res;
-      return replicaId && {instanceId, replicaId, joinable: blank || !voter};
-    } catch {
-      return undefined;
-    }
+  /** Whether the last change of the members is committed, in this term too. */
+  private areMembersSettled(leadership: Leadership): boolean {
+    const {commitIndex, replicasIndex} = this.log;
+    return commitIndex >= leadership.firstIndex && commitIndex >= replicasIndex;
   }
 
   /** Records that entries are committed, then applies them. */
--- a/packages/stand_ins/src/index.ts
+++ b/packages/stand_ins/src/index.ts
@@ -10,6 +10,7 @@
 export * from './fake_target/fake_target_options.js';
 export * from './fake_target/fault.js';
 export * from './http_call/http_call.js';
+export * from './metric_sum/metric_sum.js';
 export * from './relay/relay.js';
 export * from './release_watch/release_watch.js';
 export * from './target_process/target_process.js';
