Hedges only where half a second is saved and the own process kept time

Ruled out: retries (no failure was counted; hedges were the only extra sends).

Change: no hedge before half a second, since the tasks last 50 ms to a second; none when the timer itself came more than 50 ms late. A test that a fast pool sees no second send, and that a slow target is hedged within the budget.

--- a/packages/dispatch/src/keeper/keeper.ts
+++ b/packages/dispatch/src/keeper/keeper.ts
@@ -13,7 +13,10 @@
 const BUSY_PAUSE_MS = 20;
 const HEDGE_PERCENTILE = 95;
 const HEDGE_FACTOR = 2;
-const MIN_HEDGE_MS = 100;
+/** Shorter waits aren't worth a second send. */
+const MIN_HEDGE_MS = 500;
+/** Lateness of the own timer that says this process was slow, not the target. */
+const MAX_TIMER_LATENESS_MS = 50;
 /** Later runs that must have finished before one counts as a straggler. */
 const MIN_OVERTAKEN_BY = 16;
 /** Longest run of work that may not be repeated, whatever its deadline. */
@@ -191,7 +194,11 @@
     try {
       const first = this.sendTo(pool, slot, work, firstEnd.signal);
       const early = await this.within(first, hedgeAfterMs);
-      if (early || signal.aborted || !this.isStraggler(pool, startedMs)) {
+      if (
+        early ||
+        signal.aborted ||
+        !this.isStraggler(pool, startedMs, hedgeAfterMs)
+      ) {
         return early ?? (await first);
       }
       this.counts.hedges++;
@@ -225,8 +232,14 @@
   }
 
   /** Whether a run is slow while the others aren't, and a hedge is affordable. */
-  private isStraggler(pool: Pool, startedMs: number): boolean {
+  private isStraggler(
+    pool: Pool,
+    startedMs: number,
+    hedgeAfterMs: number,
+  ): boolean {
+    const lateMs = this.opts.clock.now() - startedMs - hedgeAfterMs;
     return (
+      lateMs <= MAX_TIMER_LATENESS_MS &&
       pool.digest().free > 0 &&
       pool.runTimes.finishedSince(startedMs) >= MIN_OVERTAKEN_BY &&
       this.hedgeBudget.take()
