--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,15 @@
 import {defineConfig} from 'eslint/config';
 
 export default defineConfig([
-  {ignores: [...ignores, '**/dist/**', '*.config.js', '*.config.ts', 'packages/*/bin/**']},
+  {
+    ignores: [
+      ...ignores,
+      '**/dist/**',
+      '*.config.js',
+      '*.config.ts',
+      'packages/*/bin/**',
+    ],
+  },
   ...gts,
   {
     files: ['packages/*/src/**/*.ts'],
