--- a/packages/cli/src/main.test.ts
+++ b/packages/cli/src/main.test.ts
@@ -1,5 +1,5 @@
 import {spawn} from 'node:child_process';
-import {writeFile} from 'node:fs/promises';
+import {readFile, writeFile} from 'node:fs/promises';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {
@@ -144,6 +144,37 @@
     expect(key.err).toContain('unauthorized');
   });
 
+  it('reads the log settings again at SIGHUP and keeps the old ones when they are wrong', async () => {
+    const daemon = cluster.daemon('centro-1');
+    const path = join(cluster.folder, 'centro-1.json');
+    const cfg = JSON.parse(await readFile(path, 'utf8')) as Record<
+      string,
+      unknown
+    >;
+    await writeFile(path, JSON.stringify({...cfg, log: {level: 'loud'}}));
+    daemon.signal('SIGHUP');
+    await waitUntil(
+      'they are refused',
+      5_000,
+      () => daemon.events('settingsRefused').length === 1,
+    );
+    await writeFile(
+      path,
+      JSON.stringify({...cfg, log: {level: 'info', decisions: false}}),
+    );
+    daemon.signal('SIGHUP');
+    await waitUntil(
+      'they are read',
+      5_000,
+      () => daemon.events('settingsReloaded').length === 1,
+    );
+    const before = daemon.events('placed').length;
+    expect(
+      await run(['request', 'booking', 'run', '--repeatable']),
+    ).toMatchObject({code: 0});
+    expect(daemon.events('placed').length).toBe(before);
+  });
+
   it('drains an instance', async () => {
     expect(await run(['drain'])).toMatchObject({code: 0});
     await cluster.daemon('centro-1').ended();
--- a/packages/dispatch/src/keeper/keeper.test.ts
+++ b/packages/dispatch/src/keeper/keeper.test.ts
@@ -188,6 +188,19 @@
     });
   });
 
+  it('counts free slots rightly when a target is ejected with requests in progress', async () => {
+    bench = new Bench();
+    await bench.add(3, 4);
+    const running = bench.runMany(12, 12, 200);
+    await new Promise(resolve => setTimeout(resolve, 50));
+    const record = bench.registry.all()[0]!;
+    record.health = {kind: 'ejected', untilMs: Infinity, ejections: 1};
+    bench.keeper.allPools().get(SERVICE)!.wake();
+    expect(bench.keeper.digests()[SERVICE]).toMatchObject({slots: 8, free: 0});
+    await running;
+    expect(bench.keeper.digests()[SERVICE]).toMatchObject({slots: 8, free: 8});
+  });
+
   it('goes on trying when all targets fail, one request at a time each', async () => {
     bench = new Bench();
     await bench.add(4, 4);
