One piece of code for the deciding member and for submitted test jobs

Cause: a reading of the whole change found the choice of the member that decides between racing owners written twice, a parameter that the view already holds, and the submission of a job twice in one test file.

Ruled out: the pairs of the virtual and the real network (two implementations of one interface), and test set-ups that are alike by shape alone.

--- a/packages/claims/src/claim_recorder/claim_recorder.ts
+++ b/packages/claims/src/claim_recorder/claim_recorder.ts
@@ -95,15 +95,8 @@
       ownerBoot: membership.boot,
       fingerprint,
     };
-    const others = view.members
-      .map(m => m.instanceId)
-      .filter(m => m !== network.self);
-    const first = rendezvousOrder(
-      id,
-      view.members.map(m => m.instanceId),
-    )[0]!;
     this.pending.add(record.claimId);
-    const attempt = await this.recordEverywhere(view, record, first, others);
+    const attempt = await this.recordEverywhere(view, record);
     if (attempt.kind !== 'won') {
       await this.release(record);
     }
@@ -114,10 +107,9 @@
   private async recordEverywhere(
     view: ClaimView,
     record: ClaimRecord,
-    first: InstanceId,
-    others: readonly InstanceId[],
   ): Promise<ClaimAttempt> {
     const {table, seat, network} = this.opts;
+    const first = decidingMember(view, record.id);
     if (first !== network.self) {
       const decided = await this.recordAt(first, view.epoch, record);
       if (decided.kind !== 'won') {
@@ -132,7 +124,9 @@
       }
     }
     table.put(record);
-    const rest = others.filter(member => member !== first);
+    const rest = view.members
+      .map(member => member.instanceId)
+      .filter(id => id !== network.self && id !== first);
     const attempts = await Promise.all(
       rest.map(member => this.recordAt(member, view.epoch, record)),
     );
@@ -182,11 +176,7 @@
     if (!view || view.epoch !== req.epoch || !isOwnerSeated) {
       return {kind: 'wrongView', epoch: view?.epoch ?? 0};
     }
-    const decides =
-      rendezvousOrder(
-        record.id,
-        view.members.map(m => m.instanceId),
-      )[0] === network.self;
+    const decides = decidingMember(view, record.id) === network.self;
     if (decides && !seat.isSynced()) {
       return {kind: 'wrongView', epoch: view.epoch};
     }
@@ -233,3 +223,9 @@
       .filter(id => id !== this.opts.network.self);
   }
 }
+
+/** Member that decides between owners that race for an id. */
+function decidingMember(view: ClaimView, id: string): InstanceId {
+  const members = view.members.map(member => member.instanceId);
+  return rendezvousOrder(id, members)[0]!;
+}
--- a/packages/daemon/src/instance/at_most_one_start.test.ts
+++ b/packages/daemon/src/instance/at_most_one_start.test.ts
@@ -75,6 +75,25 @@
     });
   }
 
+  function submitJob(
+    instance: string,
+    id: string,
+    count: number,
+    runMs: number,
+  ): Promise<HttpResult> {
+    const task = {needs: {cores: 1, memoryMb: 512}, runMs};
+    const tasks = Array.from({length: count}, (_, tag) => ({
+      ...task,
+      input: {runMs, tag},
+    }));
+    return httpCall({
+      port: cluster.callersPort(instance),
+      method: 'POST',
+      path: '/v1/jobs?wait-ms=8000',
+      body: JSON.stringify({id, service: JOBS, tasks}),
+    });
+  }
+
   async function newId(instance = 'centro-1'): Promise<string> {
     return `${await cluster.idPrefix(instance)}${caller.opaque()}`;
   }
@@ -229,24 +248,14 @@
 
   it('holds for every task of a job, whose answer is complete or failed', async () => {
     const id = await newId();
-    const task = {needs: {cores: 1, memoryMb: 512}, runMs: 50};
-    const tasks = Array.from({length: 30}, (_, tag) => ({
-      ...task,
-      input: {runMs: 50, tag},
-    }));
     const submit = (instance: string): Promise<HttpResult> =>
-      httpCall({
-        port: cluster.callersPort(instance),
-        method: 'POST',
-        path: '/v1/jobs?wait-ms=8000',
-        body: JSON.stringify({id, service: JOBS, tasks}),
-      });
+      submitJob(instance, id, 30, 50);
     const results = await Promise.all([...CENTRO, 'serra-1'].map(submit));
     for (const res of results) {
       expect(res.status).toBe(200);
       const {answers} = JSON.parse(res.text) as {answers: Array<{tag: number}>};
       expect(answers.map(answer => answer.tag)).toEqual(
-        tasks.map((_task, tag) => tag),
+        Array.from({length: 30}, (_, tag) => tag),
       );
     }
     expect(worker.starts.size).toBe(30);
@@ -255,18 +264,8 @@
 
   it('fails a whole job when its owner is killed, and starts no task again', async () => {
     const id = await newId();
-    const task = {needs: {cores: 1, memoryMb: 512}, runMs: 800};
-    const tasks = Array.from({length: 20}, (_, tag) => ({
-      ...task,
-      input: {runMs: 800, tag},
-    }));
     const submit = (instance: string): Promise<HttpResult> =>
-      httpCall({
-        port: cluster.callersPort(instance),
-        method: 'POST',
-        path: '/v1/jobs?wait-ms=8000',
-        body: JSON.stringify({id, service: JOBS, tasks}),
-      });
+      submitJob(instance, id, 20, 800);
     const first = submit('centro-1').catch(() => undefined);
     await waitUntil('tasks run', 5_000, () => worker.running > 0);
     await cluster.kill('centro-1');
