--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,6 +7,8 @@
     ignores: [
       ...ignores,
       '**/dist/**',
+      'target/**',
+      'journal/**',
       '*.config.js',
       '*.config.ts',
       'packages/*/bin/**',
@@ -14,7 +16,7 @@
   },
   ...gts,
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     languageOptions: {
       parserOptions: {
         project: './tsconfig.eslint.json',
--- /dev/null
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -0,0 +1,380 @@
+import type {
+  DataCentreId,
+  Heartbeat,
+  InstanceId,
+  JobId,
+  JobOutcome,
+  KnownInstance,
+  ScheduledJob,
+} from '@papayarun/protocol';
+import {PeerCallError} from '@papayarun/protocol';
+import type {ControlState, SchedulerGrant} from '@papayarun/releases';
+import {ControlStore} from '@papayarun/releases';
+import {Scheduler} from '@papayarun/scheduling';
+import {ClusterNode} from '../cluster_node/cluster_node.js';
+import {QueueTable} from '../work_queue/queue_table.js';
+import type {WorkQueue} from '../work_queue/work_queue.js';
+import type {EntryInstanceOptions} from './entry_instance_options.js';
+
+/** Time beyond the caller's deadline for a scheduler's answer, in ms. */
+const ANSWER_SLACK_MS = 100;
+/** Pause while a lost scheduler's successor is awaited, in milliseconds. */
+const SUCCESSOR_POLL_MS = 20;
+/** Longest wait for a successor of a lost scheduler, in milliseconds. */
+const MAX_SUCCESSOR_WAIT_MS = 1_200;
+const LIST_TIMEOUT_MS = 1_000;
+/** When a caller may come back if no scheduler can be reached, in ms. */
+const NO_SCHEDULER_RETRY_MS = 1_000;
+
+/**
+ * An instance that takes callers' jobs, and schedules a data centre's targets
+ * while it holds the grant for them.
+ */
+export class EntryInstance {
+  private readonly store = ControlStore.create();
+  private readonly scheduler: Scheduler;
+  /** Instances that wait for each job of this scheduler. */
+  private readonly owners = new Map<JobId, Set<InstanceId>>();
+  private state: Heartbeat['state'] = 'starting';
+  private node!: ClusterNode;
+  private queues: QueueTable | undefined;
+  private revision: number | undefined;
+  private fencedToken = 0;
+
+  private constructor(private readonly opts: EntryInstanceOptions) {
+    const {metrics} = opts;
+    this.scheduler = Scheduler.create({
+      ...opts,
+      onFenced: token => (this.fencedToken = token),
+      onOutcome: (job, outcome, tookMs) => {
+        const verdict = 'reason' in outcome ? outcome.reason : outcome.kind;
+        metrics.countJob(job.kind, verdict, tookMs);
+      },
+    });
+  }
+
+  /**
+   * Opens the listener for peers.
+   *
+   * @param opts - Settings, way to the targets, clock and log.
+   * @returns The instance, running; ready once it has a configuration.
+   * @throws Error when the address can't be used.
+   * @example
+   * const instance = await EntryInstance.create(opts);
+   */
+  static async create(opts: EntryInstanceOptions): Promise<EntryInstance> {
+    const instance = new EntryInstance(opts);
+    await instance.open();
+    return instance;
+  }
+
+  /** Whether callers should be sent here. */
+  get isReady(): boolean {
+    return this.state === 'ready' && this.holders().length > 0;
+  }
+
+  get hasConfiguration(): boolean {
+    return this.queues !== undefined;
+  }
+
+  /** Jobs of this scheduler that wait for a place. */
+  get waitingJobs(): number {
+    return this.scheduler.waitingJobs;
+  }
+
+  /** Gauges for the metrics. */
+  gauges(): Record<string, number> {
+    return {
+      scheduler_token: this.scheduler.token ?? 0,
+      waiting_jobs: this.scheduler.waitingJobs,
+      running_tasks: this.scheduler.runningTasks,
+      targets: this.scheduler.targets,
+      state_index: this.store.index,
+      configuration_revision: this.revision ?? 0,
+    };
+  }
+
+  /**
+   * The queue of a request, by the newest configuration held.
+   *
+   * @param host - Host of the request, without a port.
+   * @param path - Its path.
+   * @returns The queue, or undefined.
+   */
+  queueFor(host: string, path: string): WorkQueue | undefined {
+    return this.queues?.find(host, path);
+  }
+
+  /**
+   * Runs a job through the scheduler of this data centre, or another one's if
+   * this one refuses it.
+   *
+   * @param job - The job.
+   * @param signal - Aborts when the caller leaves.
+   * @returns How it ended; only a refusal promises that nothing has run.
+   */
+  async submit(job: ScheduledJob, signal: AbortSignal): Promise<JobOutcome> {
+    const startedMs = this.opts.clock.now();
+    const tried = new Set<DataCentreId>();
+    let refusal: JobOutcome = {
+      kind: 'refused',
+      reason: 'noTargets',
+      retryAfterMs: NO_SCHEDULER_RETRY_MS,
+    };
+    for (;;) {
+      const holder = this.holders().find(h => !tried.has(h.dataCentre));
+      if (!holder || signal.aborted) {
+        return refusal;
+      }
+      const spentMs = this.opts.clock.now() - startedMs;
+      const aged = {
+        ...job,
+        ageMs: job.ageMs + spentMs,
+        leftMs: job.leftMs - spentMs,
+      };
+      const outcome = await this.submitTo(holder.grant, aged, signal);
+      if (outcome.kind === 'failed' && outcome.reason === 'schedulerLost') {
+        return this.submitAgain(holder, aged, signal);
+      }
+      if (outcome.kind !== 'refused') {
+        return outcome;
+      }
+      refusal = outcome;
+      tried.add(holder.dataCentre);
+    }
+  }
+
+  /** Takes other seeds, after the settings have changed. */
+  useSeeds(seeds: readonly InstanceId[]): void {
+    this.node.roster.useSeeds(seeds);
+  }
+
+  /** Begins to drain: another entry gets the grant, callers go elsewhere. */
+  drain(): void {
+    this.state = 'draining';
+    this.node.membership.invalidate();
+    this.node.membership.beat();
+  }
+
+  async stop(): Promise<void> {
+    this.scheduler.end();
+    await this.node.stop();
+  }
+
+  private async open(): Promise<void> {
+    const {opts, store} = this;
+    this.node = await ClusterNode.create({
+      ...opts,
+      store,
+      state: () => this.state,
+      wants: (known, state) => this.wants(known, state),
+      onLinkDown: peer => this.ownerLost(peer),
+      onRenewed: () => this.followGrant(store.state),
+    });
+    const {network} = this.node;
+    network.onCall('scheduleJob', (from, {job}) => this.scheduleFor(from, job));
+    network.onNotice('cancelJob', (from, {jobId}) => this.disown(jobId, from));
+    network.onCall('reportTarget', (_from, {report}) =>
+      Promise.resolve({accepted: this.scheduler.accept(report)}),
+    );
+    store.onChange((_before, after) => this.follow(after));
+    this.node.start();
+  }
+
+  private wants(known: KnownInstance, state: ControlState): boolean {
+    return (
+      known.role === 'state' ||
+      known.dataCentre === this.opts.cfg.dataCentre ||
+      Object.values(state.schedulers).some(
+        grant => grant.instanceId === known.instanceId,
+      )
+    );
+  }
+
+  private follow(state: ControlState): void {
+    const {configuration} = state;
+    if (configuration && configuration.revision !== this.revision) {
+      this.revision = configuration.revision;
+      this.queues = QueueTable.create(
+        this.opts.queuesOf(configuration.content),
+      );
+      this.opts.log.emit('configurationInForce', {revision: this.revision});
+      if (this.state === 'starting') {
+        this.state = 'ready';
+        this.opts.log.emit('ready', {revision: this.revision});
+        this.node.membership.beat();
+      }
+    }
+    this.followGrant(state);
+  }
+
+  /** Begins or ends scheduling, as the grant in force says. */
+  private followGrant(state: ControlState): void {
+    const {cfg} = this.opts;
+    const grant = state.schedulers[cfg.dataCentre];
+    const isMine =
+      grant?.instanceId === cfg.instanceId &&
+      grant.boot === this.node.membership.boot &&
+      grant.token > this.fencedToken;
+    if (!isMine) {
+      this.scheduler.end();
+      return;
+    }
+    if (this.scheduler.token !== grant.token) {
+      this.scheduler.begin(grant.token);
+      for (const id of this.node.roster.stateInstances()) {
+        void this.fetchTargets(id);
+      }
+    }
+  }
+
+  private async fetchTargets(from: InstanceId): Promise<void> {
+    const {dataCentre} = this.opts.cfg;
+    const opts = {timeoutMs: LIST_TIMEOUT_MS};
+    const {network} = this.node;
+    try {
+      const res = await network.call(from, 'listTargets', {dataCentre}, opts);
+      res.reports.forEach(report => this.scheduler.accept(report));
+    } catch (err) {
+      this.opts.log.emit('targetsNotListed', {
+        from,
+        err: (err as Error).message,
+      });
+    }
+  }
+
+  /** Schedulers that can be reached, the one of this data centre first. */
+  private holders(): Holder[] {
+    const {cfg} = this.opts;
+    const {membership, network} = this.node;
+    const linked = new Set(network.linked());
+    const holders: Holder[] = [];
+    for (const [name, grant] of Object.entries(this.store.state.schedulers)) {
+      const isSelf =
+        grant.instanceId === cfg.instanceId &&
+        this.scheduler.token === grant.token;
+      const isReachable =
+        linked.has(grant.instanceId) && membership.isAlive(grant.instanceId);
+      if (isSelf || isReachable) {
+        holders.push({dataCentre: name as DataCentreId, grant});
+      }
+    }
+    const rank = (holder: Holder): number =>
+      holder.dataCentre === cfg.dataCentre ? 0 : 1 + this.opts.random.next();
+    return holders
+      .map(holder => ({holder, rank: rank(holder)}))
+      .sort((a, b) => a.rank - b.rank)
+      .map(({holder}) => holder);
+  }
+
+  private async submitTo(
+    grant: SchedulerGrant,
+    job: ScheduledJob,
+    signal: AbortSignal,
+  ): Promise<JobOutcome> {
+    const {instanceId} = grant;
+    const {network} = this.node;
+    if (instanceId === this.opts.cfg.instanceId) {
+      const cancel = (): void => this.disown(job.id, instanceId);
+      signal.addEventListener('abort', cancel, {once: true});
+      const {outcome} = await this.scheduleFor(instanceId, job);
+      signal.removeEventListener('abort', cancel);
+      return outcome;
+    }
+    const timeoutMs = Math.max(1, job.leftMs) + ANSWER_SLACK_MS;
+    try {
+      const opts = {timeoutMs, signal};
+      const res = await network.call(instanceId, 'scheduleJob', {job}, opts);
+      return res.outcome;
+    } catch (err) {
+      if (signal.aborted) {
+        network.notify(instanceId, 'cancelJob', {jobId: job.id});
+        return {kind: 'failed', reason: 'cancelled'};
+      }
+      this.opts.log.emit('schedulerLost', {
+        jobId: job.id,
+        scheduler: instanceId,
+        err: (err as Error).message,
+      });
+      return err instanceof PeerCallError && !err.maybeSent
+        ? {
+            kind: 'refused',
+            reason: 'notScheduler',
+            retryAfterMs: NO_SCHEDULER_RETRY_MS,
+          }
+        : {kind: 'failed', reason: 'schedulerLost'};
+    }
+  }
+
+  /** Hands a job whose scheduler was lost to the successor. */
+  private async submitAgain(
+    lost: Holder,
+    job: ScheduledJob,
+    signal: AbortSignal,
+  ): Promise<JobOutcome> {
+    const {clock, log} = this.opts;
+    const startedMs = clock.now();
+    const waitMs = Math.min(MAX_SUCCESSOR_WAIT_MS, job.leftMs);
+    while (!signal.aborted && clock.now() - startedMs < waitMs) {
+      const next = this.holders().find(h => h.dataCentre === lost.dataCentre);
+      if (next && next.grant.token > lost.grant.token) {
+        const spentMs = clock.now() - startedMs;
+        log.emit('jobHandedOver', {
+          jobId: job.id,
+          to: next.grant.instanceId,
+          token: next.grant.token,
+          afterMs: Math.round(spentMs),
+        });
+        const outcome = await this.submitTo(
+          next.grant,
+          {
+            ...job,
+            ageMs: job.ageMs + spentMs,
+            leftMs: job.leftMs - spentMs,
+            submission: job.submission + 1,
+          },
+          signal,
+        );
+        return outcome.kind === 'refused'
+          ? {kind: 'failed', reason: 'schedulerLost'}
+          : outcome;
+      }
+      await clock.sleep(SUCCESSOR_POLL_MS);
+    }
+    return {kind: 'failed', reason: 'schedulerLost'};
+  }
+
+  private async scheduleFor(
+    owner: InstanceId,
+    job: ScheduledJob,
+  ): Promise<{outcome: JobOutcome}> {
+    const owners = this.owners.get(job.id) ?? new Set();
+    owners.add(owner);
+    this.owners.set(job.id, owners);
+    const outcome = await this.scheduler.submit(job);
+    this.owners.delete(job.id);
+    return {outcome};
+  }
+
+  private disown(jobId: JobId, owner: InstanceId): void {
+    const owners = this.owners.get(jobId);
+    owners?.delete(owner);
+    if (owners?.size === 0) {
+      this.scheduler.cancel(jobId);
+    }
+  }
+
+  private ownerLost(peer: InstanceId): void {
+    for (const jobId of [...this.owners.keys()]) {
+      if (this.owners.get(jobId)?.has(peer)) {
+        this.disown(jobId, peer);
+      }
+    }
+  }
+}
+
+/** Who schedules a data centre's targets. */
+interface Holder {
+  readonly dataCentre: DataCentreId;
+  readonly grant: SchedulerGrant;
+}
--- /dev/null
+++ b/packages/daemon/src/entry_instance/entry_instance_options.ts
@@ -0,0 +1,20 @@
+import type {Clock, EventLog, RandomSource} from '@papayarun/protocol';
+import type {SchedulerTiming, TargetPort} from '@papayarun/scheduling';
+import type {NodeSettings} from '../cluster_node/node_settings.js';
+import type {Metrics} from '../metrics/metrics.js';
+import type {WorkQueue} from '../work_queue/work_queue.js';
+
+/**
+ * What an entry instance needs.
+ */
+export interface EntryInstanceOptions {
+  readonly cfg: NodeSettings;
+  readonly port: TargetPort;
+  readonly timing: SchedulerTiming;
+  /** Reads the queues out of an accepted configuration. */
+  readonly queuesOf: (content: unknown) => readonly WorkQueue[];
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: EventLog;
+  readonly metrics: Metrics;
+}
--- a/packages/daemon/src/event_logger/event_logger.ts
+++ b/packages/daemon/src/event_logger/event_logger.ts
@@ -18,6 +18,7 @@
    * @param fields - Fields of every line.
    * @param level - Lowest level that is written.
    * @param decisions - Whether routing and placement decisions are written.
+   * @param output - Where the lines go; standard output if absent.
    * @returns The logger.
    * @example
    * const log = EventLogger.create({instance: 'centro-1'}, 'info', true);
@@ -26,8 +27,19 @@
     fields: Readonly<Record<string, string>>,
     level: bunyan.LogLevelString,
     decisions: boolean,
+    output?: {write(line: string): void},
   ): EventLogger {
-    const logger = bunyan.createLogger({name: 'papayarund', level, ...fields});
+    const logger = bunyan.createLogger({
+      name: 'papayarund',
+      ...(output
+        ? {
+            streams: [
+              {level, stream: output as unknown as NodeJS.WritableStream},
+            ],
+          }
+        : {level}),
+      ...fields,
+    });
     return new EventLogger(logger, decisions);
   }
 
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -179,6 +179,7 @@
       timeoutMs: timing.peerTimeoutMs,
       ownState: () => this.state,
       describe: () => ({
+        role: 'all',
         state: this.state,
         stateIndex: this.store.index,
         currentAgeMs: Math.min(this.currency.ageMs(), Number.MAX_SAFE_INTEGER),
--- a/packages/daemon/src/metrics/metrics.ts
+++ b/packages/daemon/src/metrics/metrics.ts
@@ -25,7 +25,10 @@
   private readonly peerMessages: Counter<'type'>;
   private readonly peerBytes: Counter<'type'>;
 
-  private constructor() {
+  private readonly jobs: Counter<'kind' | 'verdict'>;
+  private readonly jobTime: Histogram<'kind' | 'verdict'>;
+
+  private constructor(hasProcessMetrics: boolean) {
     const registers = [this.registry];
     this.requests = new Counter({
       name: 'papayarun_requests_total',
@@ -52,18 +55,35 @@
       labelNames: ['type'],
       registers,
     });
-    collectDefaultMetrics({register: this.registry});
+    this.jobs = new Counter({
+      name: 'papayarun_scheduled_jobs_total',
+      help: 'Jobs at this scheduler by kind and verdict.',
+      labelNames: ['kind', 'verdict'],
+      registers,
+    });
+    this.jobTime = new Histogram({
+      name: 'papayarun_scheduled_job_seconds',
+      help: 'Time of a job at this scheduler, by kind and verdict.',
+      labelNames: ['kind', 'verdict'],
+      buckets: BUCKETS_SECONDS,
+      registers,
+    });
+    if (hasProcessMetrics) {
+      collectDefaultMetrics({register: this.registry});
+    }
   }
 
   /**
    * Makes the metrics.
    *
+   * @param hasProcessMetrics - Whether those of the process are added; their
+   *   sampling wakes the process a hundred times a second.
    * @returns The metrics.
    * @example
    * const metrics = Metrics.create();
    */
-  static create(): Metrics {
-    return new Metrics();
+  static create(hasProcessMetrics = true): Metrics {
+    return new Metrics(hasProcessMetrics);
   }
 
   /** Adds gauges `papayarun_<name>` that are read at each scrape. */
@@ -94,6 +114,12 @@
     this.responseTime.observe({kind}, ms / MS_PER_SECOND);
   }
 
+  /** Counts a job that ended at this instance's scheduler. */
+  countJob(kind: string, verdict: string, ms: number): void {
+    this.jobs.inc({kind, verdict});
+    this.jobTime.observe({kind, verdict}, ms / MS_PER_SECOND);
+  }
+
   countMessage(type: string, bytes: number): void {
     this.peerMessages.inc({type});
     this.peerBytes.inc({type}, bytes);
--- /dev/null
+++ b/packages/daemon/src/state_instance/state_instance_options.ts
@@ -0,0 +1,18 @@
+import type {Clock, EventLog, RandomSource} from '@papayarun/protocol';
+import type {Disk} from '@papayarun/replication';
+import type {NodeSettings} from '../cluster_node/node_settings.js';
+import type {Metrics} from '../metrics/metrics.js';
+
+/**
+ * What a state instance needs.
+ */
+export interface StateInstanceOptions {
+  readonly cfg: NodeSettings;
+  /** Whether the whole system starts for the first time, on empty disks. */
+  readonly isFirstStart: boolean;
+  readonly disk: Disk;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: EventLog;
+  readonly metrics: Metrics;
+}
--- /dev/null
+++ b/packages/daemon/src/work_queue/queue_table.ts
@@ -0,0 +1,48 @@
+import type {WorkQueue} from './work_queue.js';
+
+/**
+ * Finds queues by host and path.
+ */
+export class QueueTable {
+  private readonly byHost = new Map<string, WorkQueue[]>();
+
+  private constructor() {}
+
+  /**
+   * Makes a table of queues.
+   *
+   * @param queues - All queues of a configuration.
+   * @returns The table.
+   * @example
+   * const table = QueueTable.create(queues);
+   */
+  static create(queues: readonly WorkQueue[]): QueueTable {
+    const table = new QueueTable();
+    for (const queue of queues) {
+      const host = queue.host.toLowerCase();
+      const others = table.byHost.get(host);
+      if (others) {
+        others.push(queue);
+      } else {
+        table.byHost.set(host, [queue]);
+      }
+    }
+    for (const others of table.byHost.values()) {
+      others.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+    }
+    return table;
+  }
+
+  /**
+   * The queue with the longest prefix of a path.
+   *
+   * @param host - Host of the request, without a port.
+   * @param path - Path of the request.
+   * @returns The queue, or undefined when there is none.
+   */
+  find(host: string, path: string): WorkQueue | undefined {
+    return this.byHost
+      .get(host.toLowerCase())
+      ?.find(queue => path.startsWith(queue.pathPrefix));
+  }
+}
--- a/packages/membership/src/membership/membership.test.ts
+++ b/packages/membership/src/membership/membership.test.ts
@@ -52,6 +52,7 @@
         timeoutMs: TIMEOUT_MS,
         ownState: () => 'ready',
         describe: () => ({
+          role: 'all',
           state: 'ready',
           stateIndex: 0,
           currentAgeMs: 0,
--- a/packages/membership/src/ws_peer_network/ws_peer_network.ts
+++ b/packages/membership/src/ws_peer_network/ws_peer_network.ts
@@ -32,6 +32,8 @@
   private readonly calls = new Map<string, CallHandler>();
   private readonly notices = new Map<string, NoticeHandler>();
   private readonly stopping = new AbortController();
+  /** Peers that were found while running, with what ends their dialling. */
+  private readonly found = new Map<InstanceId, AbortController>();
 
   private constructor(
     private readonly opts: WsPeerNetworkOptions,
@@ -78,15 +80,43 @@
   start(): void {
     for (const peer of this.opts.peers) {
       if (this.self < peer.instanceId) {
-        void this.dialLoop(peer);
+        void this.dialLoop(peer, this.stopping.signal);
       }
     }
     void this.silenceLoop();
   }
 
+  /**
+   * Keeps a link to a peer that was found while running.
+   *
+   * @description Both ends may dial; a link that the peer made is used too.
+   * @param peer - Where it listens.
+   */
+  keepLink(peer: PeerAddress): void {
+    if (peer.instanceId === this.self || this.found.has(peer.instanceId)) {
+      return;
+    }
+    const ending = new AbortController();
+    this.found.set(peer.instanceId, ending);
+    void this.dialLoop(peer, ending.signal);
+  }
+
+  /**
+   * Dials a found peer no longer; an open link goes on.
+   *
+   * @param peer - The peer.
+   */
+  dropLink(peer: InstanceId): void {
+    this.found.get(peer)?.abort();
+    this.found.delete(peer);
+  }
+
   /** Closes all links and stops listening. */
   async stop(): Promise<void> {
     this.stopping.abort();
+    for (const peer of [...this.found.keys()]) {
+      this.dropLink(peer);
+    }
     for (const link of this.links.values()) {
       link.close();
     }
@@ -146,12 +176,17 @@
     return [...this.links.keys()];
   }
 
-  private async dialLoop(peer: PeerAddress): Promise<void> {
+  private async dialLoop(
+    peer: PeerAddress,
+    ending: AbortSignal,
+  ): Promise<void> {
     let waitMs = MIN_REDIAL_MS;
-    while (!this.stopping.signal.aborted) {
+    while (!ending.aborted) {
       const startedMs = this.opts.clock.now();
       try {
-        await this.dialOnce(peer);
+        if (!this.links.has(peer.instanceId)) {
+          await this.dialOnce(peer);
+        }
       } catch (err) {
         this.opts.observer.linkRefused((err as Error).message);
       }
@@ -161,7 +196,7 @@
           ? MIN_REDIAL_MS
           : Math.min(MAX_REDIAL_MS, waitMs * 2);
       const jitter = 0.5 + this.opts.random.next();
-      await this.opts.clock.sleep(waitMs * jitter, this.stopping.signal);
+      await this.opts.clock.sleep(waitMs * jitter, ending);
     }
   }
 
@@ -191,7 +226,8 @@
     socket.on('error', () => socket.terminate());
     try {
       const peer = await handshake(socket, this.self, this.opts.key, undefined);
-      if (!this.opts.peers.some(known => known.instanceId === peer)) {
+      const isMember = this.opts.peers.some(p => p.instanceId === peer);
+      if (!isMember && !this.opts.isOpen) {
         throw new Error(`${peer} is not among the members`);
       }
       await this.serve(peer, socket);
--- a/packages/membership/src/ws_peer_network/ws_peer_network_options.ts
+++ b/packages/membership/src/ws_peer_network/ws_peer_network_options.ts
@@ -9,6 +9,8 @@
   readonly self: InstanceId;
   readonly key: string;
   readonly peers: readonly PeerAddress[];
+  /** Whether instances that are not among `peers` may link to this one. */
+  readonly isOpen?: boolean;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly observer: LinkObserver;
--- a/packages/protocol/src/event_log/event_catalogue.ts
+++ b/packages/protocol/src/event_log/event_catalogue.ts
@@ -101,6 +101,31 @@
     level: 'info',
     text: 'configuration is confirmed as the latest again',
   },
+  configurationInForce: {
+    number: 3011,
+    level: 'info',
+    text: 'a whole configuration came into force at this instance',
+  },
+  configurationDecided: {
+    number: 3012,
+    level: 'info',
+    text: 'an operator sent a whole configuration; says the revision in force',
+  },
+  logFormed: {
+    number: 3013,
+    level: 'info',
+    text: 'the replicated log was formed at the first start',
+  },
+  logNotFormed: {
+    number: 3015,
+    level: 'info',
+    text: 'the log could not be formed yet; it is tried again',
+  },
+  schedulerGranted: {
+    number: 3014,
+    level: 'info',
+    text: 'the leader granted a scheduler of a data centre',
+  },
   viewProposed: {
     number: 4001,
     level: 'info',
@@ -143,6 +168,31 @@
     level: 'info',
     text: 'decision: a straggler is sent a second time',
   },
+  jobRefused: {
+    number: 5006,
+    level: 'info',
+    text: 'decision: a job was refused before any of its tasks was sent',
+  },
+  taskPlaced: {
+    number: 5007,
+    level: 'info',
+    text: 'decision: which target runs a task',
+  },
+  taskRetried: {
+    number: 5008,
+    level: 'info',
+    text: 'decision: a task waits again after its run ended or was void',
+  },
+  stragglerStopped: {
+    number: 5009,
+    level: 'info',
+    text: 'decision: a run that takes far too long is stopped',
+  },
+  jobHandedOver: {
+    number: 5010,
+    level: 'info',
+    text: 'decision: a job goes to another scheduler',
+  },
   targetAdded: {
     number: 6001,
     level: 'info',
@@ -174,12 +224,87 @@
     level: 'warn',
     text: 'a worker no longer knows a task it was given',
   },
+  targetTrust: {
+    number: 6008,
+    level: 'info',
+    text: 'trust in a target changed',
+  },
+  targetSilent: {
+    number: 6009,
+    level: 'warn',
+    text: 'target does not answer',
+  },
+  targetHeard: {
+    number: 6010,
+    level: 'info',
+    text: 'target answers again',
+  },
+  orderUnanswered: {
+    number: 6011,
+    level: 'warn',
+    text: 'an order to a target got no answer; it may be carried out',
+  },
+  reportNotPassedOn: {
+    number: 6013,
+    level: 'warn',
+    text: 'the report of a leaving target did not reach its scheduler',
+  },
+  targetsNotListed: {
+    number: 6014,
+    level: 'warn',
+    text: 'a state instance did not list the targets',
+  },
+  targetUnreadable: {
+    number: 6015,
+    level: 'warn',
+    text: 'an answer of a target could not be read',
+  },
+  orphanStopped: {
+    number: 6012,
+    level: 'info',
+    text: 'a run that no job claims is stopped',
+  },
   jobStarted: {
     number: 7001,
     level: 'info',
     text: 'job was claimed and its tasks are being placed',
   },
   jobEnded: {number: 7002, level: 'info', text: 'job is complete or failed'},
+  jobScheduled: {
+    number: 7003,
+    level: 'info',
+    text: 'job ended at the scheduler; says how and why',
+  },
+  jobAnswered: {
+    number: 7008,
+    level: 'info',
+    text: 'a caller was told how its job ended',
+  },
+  jobUnsupported: {
+    number: 7009,
+    level: 'warn',
+    text: 'a job needs what this version does not serve',
+  },
+  schedulerBegun: {
+    number: 7004,
+    level: 'info',
+    text: 'this instance schedules the data centre under a new token',
+  },
+  schedulerEnded: {
+    number: 7005,
+    level: 'info',
+    text: 'this instance no longer schedules the data centre',
+  },
+  schedulerFenced: {
+    number: 7006,
+    level: 'warn',
+    text: 'a target has seen a higher token; scheduling ends here',
+  },
+  schedulerLost: {
+    number: 7007,
+    level: 'warn',
+    text: 'the scheduler of a data centre can not be reached',
+  },
   badRequest: {
     number: 8001,
     level: 'info',
@@ -195,4 +320,14 @@
     level: 'info',
     text: 'an operator changed something',
   },
+  operatorUnanswered: {
+    number: 8005,
+    level: 'warn',
+    text: 'an operator could not be given a clear answer',
+  },
+  linesDropped: {
+    number: 8004,
+    level: 'warn',
+    text: 'log lines were dropped to keep the volume bounded',
+  },
 } as const;
--- a/packages/protocol/src/messages/heartbeat.ts
+++ b/packages/protocol/src/messages/heartbeat.ts
@@ -1,6 +1,7 @@
 import type {BootId} from '../ids/boot_id.js';
 import type {DataCentreId} from '../ids/data_centre_id.js';
 import type {InstanceDigest} from '../digest/instance_digest.js';
+import type {InstanceRole} from './instance_role.js';
 
 /**
  * Periodic message that shows an instance to be alive.
@@ -8,6 +9,7 @@
 export interface Heartbeat {
   readonly boot: BootId;
   readonly dataCentre: DataCentreId;
+  readonly role: InstanceRole;
   readonly state: 'starting' | 'ready' | 'draining';
   /** Index of the last command of the release log that it has applied. */
   readonly stateIndex: number;
--- /dev/null
+++ b/packages/protocol/src/messages/list_targets_call.ts
@@ -0,0 +1,10 @@
+import type {DataCentreId} from '../ids/data_centre_id.js';
+import type {TargetReport} from '../scheduling/target_report.js';
+
+/**
+ * Asks a state instance for the latest reports of a data centre's targets.
+ */
+export interface ListTargetsCall {
+  readonly req: {readonly dataCentre: DataCentreId};
+  readonly res: {readonly reports: readonly TargetReport[]};
+}
--- a/packages/protocol/src/messages/peer_calls.ts
+++ b/packages/protocol/src/messages/peer_calls.ts
@@ -3,6 +3,10 @@
 import type {AppendCall} from './append_call.js';
 import type {FormCall} from './form_call.js';
 import type {DispatchCall} from './dispatch_call.js';
+import type {ListInstancesCall} from './list_instances_call.js';
+import type {ListTargetsCall} from './list_targets_call.js';
+import type {ReportTargetCall} from './report_target_call.js';
+import type {ScheduleJobCall} from './schedule_job_call.js';
 import type {JobCall} from './job_call.js';
 import type {OwnerAnswerCall} from './owner_answer_call.js';
 import type {ProposeCall} from './propose_call.js';
@@ -29,4 +33,8 @@
   ownerAnswer: OwnerAnswerCall;
   dispatch: DispatchCall;
   job: JobCall;
+  scheduleJob: ScheduleJobCall;
+  reportTarget: ReportTargetCall;
+  listTargets: ListTargetsCall;
+  listInstances: ListInstancesCall;
 }
--- a/packages/protocol/src/messages/peer_notices.ts
+++ b/packages/protocol/src/messages/peer_notices.ts
@@ -1,3 +1,4 @@
+import type {JobId} from '../ids/job_id.js';
 import type {Announcement} from '../target/announcement.js';
 import type {RequestId} from '../ids/request_id.js';
 import type {ClaimAnswered} from './claim_answered.js';
@@ -12,4 +13,6 @@
   claimAnswered: ClaimAnswered;
   /** Nobody waits any more for this piece of work. */
   cancelDispatch: {readonly requestId: RequestId | string};
+  /** Nobody waits any more for a job at a scheduler. */
+  cancelJob: {readonly jobId: JobId};
 }
--- /dev/null
+++ b/packages/protocol/src/scheduling/job_refusal.ts
@@ -0,0 +1,10 @@
+/**
+ * Why a job was not begun.
+ */
+export type JobRefusal =
+  | 'notScheduler'
+  | 'takingOver'
+  | 'noTargets'
+  | 'tooLate'
+  | 'tooMany'
+  | 'cancelled';
--- a/packages/releases/src/apply_command/apply_command.ts
+++ b/packages/releases/src/apply_command/apply_command.ts
@@ -1,5 +1,7 @@
 import type {ControlCommand} from '../command/control_command.js';
 import type {ControlState} from '../control_state/control_state.js';
+import {applyConfiguration} from '../_lib/apply_configuration.js';
+import {applyGrant} from '../_lib/apply_grant.js';
 import {applyNote} from '../_lib/apply_note.js';
 import {applyPreferences} from '../_lib/apply_preferences.js';
 import {applyView} from '../_lib/apply_view.js';
@@ -28,6 +30,10 @@
       return applyView(state, command);
     case 'setPreferences':
       return applyPreferences(state, command);
+    case 'applyConfiguration':
+      return applyConfiguration(state, command);
+    case 'grantScheduler':
+      return applyGrant(state, command);
     default:
       return command satisfies never;
   }
--- a/packages/releases/src/command/control_command.ts
+++ b/packages/releases/src/command/control_command.ts
@@ -1,4 +1,4 @@
-import type {DataCentreId} from '@papayarun/protocol';
+import type {BootId, DataCentreId, InstanceId} from '@papayarun/protocol';
 import type {ViewMember} from '../claim_view/view_member.js';
 import type {ReleaseNote} from '../note/release_note.js';
 
@@ -28,4 +28,18 @@
       readonly customer: string;
       /** Chosen value by behaviour name; null drops the choice. */
       readonly choices: Readonly<Record<string, unknown>>;
+    }
+  | {
+      /** A whole configuration, in place of release notes. */
+      readonly kind: 'applyConfiguration';
+      readonly revision: number;
+      readonly content: unknown;
+    }
+  | {
+      readonly kind: 'grantScheduler';
+      readonly dataCentre: DataCentreId;
+      /** Token of the grant that this one replaces; 0 for none. */
+      readonly fromToken: number;
+      readonly instanceId: InstanceId;
+      readonly boot: BootId;
     };
--- a/packages/releases/src/command/control_result.ts
+++ b/packages/releases/src/command/control_result.ts
@@ -1,3 +1,4 @@
+import type {SchedulerGrant} from '../scheduler_grant/scheduler_grant.js';
 import type {ClaimView} from '../claim_view/claim_view.js';
 import type {NoteVerdict} from '../note/note_verdict.js';
 
@@ -11,4 +12,15 @@
       readonly accepted: boolean;
       readonly view: ClaimView | undefined;
     }
-  | {readonly kind: 'preferences'; readonly unknown: readonly string[]};
+  | {readonly kind: 'preferences'; readonly unknown: readonly string[]}
+  | {
+      readonly kind: 'configuration';
+      readonly changed: boolean;
+      /** Revision in force after the command. */
+      readonly revision: number;
+    }
+  | {
+      readonly kind: 'grant';
+      readonly accepted: boolean;
+      readonly grant: SchedulerGrant | undefined;
+    };
--- a/packages/releases/src/control_state/control_state.ts
+++ b/packages/releases/src/control_state/control_state.ts
@@ -1,3 +1,5 @@
+import type {AcceptedConfiguration} from '../configuration/accepted_configuration.js';
+import type {SchedulerGrant} from '../scheduler_grant/scheduler_grant.js';
 import type {ClaimView} from '../claim_view/claim_view.js';
 import type {NoteVerdict} from '../note/note_verdict.js';
 import type {AcceptedNote} from './accepted_note.js';
@@ -24,4 +26,10 @@
   readonly customers: Readonly<
     Record<string, Readonly<Record<string, ReleaseEntry>>>
   >;
+  /** Whole configuration in force, where the operator sends whole ones. */
+  readonly configuration?: AcceptedConfiguration;
+  /** Grants by data centre. */
+  readonly schedulers: Readonly<Record<string, SchedulerGrant>>;
+  /** Highest fencing token that was ever granted. */
+  readonly lastToken: number;
 }
--- a/packages/releases/src/control_state/empty_control_state.ts
+++ b/packages/releases/src/control_state/empty_control_state.ts
@@ -9,4 +9,6 @@
   history: [],
   views: {},
   customers: {},
+  schedulers: {},
+  lastToken: 0,
 };
--- a/packages/releases/src/control_store/control_store.ts
+++ b/packages/releases/src/control_store/control_store.ts
@@ -88,7 +88,11 @@
     }
     this.tail = [];
     this.tailAfter = index;
-    this.advance(index, decodeMessage(bytes) as ControlState);
+    // A snapshot of an earlier version lacks what was added since.
+    this.advance(index, {
+      ...EMPTY_CONTROL_STATE,
+      ...(decodeMessage(bytes) as ControlState),
+    });
   }
 
   serialize(): Uint8Array {
--- /dev/null
+++ b/packages/scheduling/src/_lib/job_record.ts
@@ -0,0 +1,24 @@
+import type {JobOutcome, ScheduledJob} from '@papayarun/protocol';
+import type {TaskRecord} from './task_record.js';
+
+/**
+ * A job at the scheduler.
+ */
+export interface JobRecord {
+  readonly job: ScheduledJob;
+  /** Order of arrival. */
+  readonly sequence: number;
+  readonly receivedMs: number;
+  /** Monotonic time at which its objective has passed. */
+  readonly objectiveAtMs: number;
+  /** Monotonic time at which its caller stops waiting. */
+  readonly callerLeavesAtMs: number;
+  /** Expected run time of a task, by step. */
+  readonly expectedMs: readonly number[];
+  readonly tasks: TaskRecord[];
+  /** Whether an order to start one of its tasks may have been sent. */
+  mayHaveRun: boolean;
+  isOver: boolean;
+  readonly finish: (outcome: JobOutcome) => void;
+  readonly outcome: Promise<JobOutcome>;
+}
--- /dev/null
+++ b/packages/scheduling/src/_lib/lane_host.ts
@@ -0,0 +1,25 @@
+import type {Clock, EventLog} from '@papayarun/protocol';
+import type {SchedulerTiming} from '../scheduler/scheduler_timing.js';
+import type {EndReport} from '../target_port/end_report.js';
+import type {TargetPort} from '../target_port/target_port.js';
+import type {RunRecord} from './run_record.js';
+
+/**
+ * What a lane asks of its scheduler.
+ */
+export interface LaneHost {
+  readonly port: TargetPort;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly timing: SchedulerTiming;
+  /** Fencing token of the grant. */
+  readonly token: number;
+  /** A run has ended, or its lease has lapsed. */
+  ended(run: RunRecord, how: EndReport['how']): void;
+  /** An order to start was certainly not carried out. */
+  notRun(run: RunRecord, reason: string): void;
+  /** A target has seen a higher fencing token. */
+  fenced(): void;
+  /** Room or trust has changed. */
+  changed(): void;
+}
--- /dev/null
+++ b/packages/scheduling/src/_lib/task_record.ts
@@ -0,0 +1,20 @@
+import type {TargetId, TaskId} from '@papayarun/protocol';
+import type {JobRecord} from './job_record.js';
+import type {RunRecord} from './run_record.js';
+
+/**
+ * A task of a job at the scheduler.
+ */
+export interface TaskRecord {
+  readonly job: JobRecord;
+  readonly taskId: TaskId;
+  readonly step: number;
+  state: 'blocked' | 'waiting' | 'placed' | 'done';
+  /** Runs that ended as failed. */
+  failures: number;
+  /** Number of the next run. */
+  nextRun: number;
+  run: RunRecord | undefined;
+  /** Targets on which a run of it went wrong. */
+  readonly avoid: Set<TargetId>;
+}
--- /dev/null
+++ b/packages/scheduling/src/admit_job/job_prospect.ts
@@ -0,0 +1,15 @@
+/**
+ * What is known of a job when it is decided whether to take it.
+ */
+export interface JobProspect {
+  /** Places, busy or free, that tasks of this size may use. */
+  readonly places: number;
+  /** Time until its last task is expected to end, in milliseconds. */
+  readonly finishMs: number;
+  /** Time from now until its objective has passed, in milliseconds. */
+  readonly objectiveLeftMs: number;
+  /** Time until its caller stops waiting, in milliseconds. */
+  readonly callerLeftMs: number;
+  /** Jobs that wait at this scheduler already. */
+  readonly waitingJobs: number;
+}
--- /dev/null
+++ b/packages/scheduling/src/expected_finish/expected_finish.ts
@@ -0,0 +1,54 @@
+/**
+ * When a group of tasks is expected to have finished.
+ *
+ * @description List scheduling over equal places: work that is ahead takes the
+ * earliest free place first, the group's own tasks follow.
+ * @param placesMs - Time until each place is free, in milliseconds; 0 for a
+ *   free one.
+ * @param aheadMs - Run times of the waiting tasks that go first, in order.
+ * @param ownMs - Run times of the group's tasks.
+ * @returns Milliseconds until the last own task ends; infinite without places.
+ * @throws Never.
+ * @example
+ * expectedFinish([0, 40], [], [60, 60]); // 100
+ */
+export function expectedFinish(
+  placesMs: readonly number[],
+  aheadMs: readonly number[],
+  ownMs: readonly number[],
+): number {
+  if (placesMs.length === 0) {
+    return Infinity;
+  }
+  const heap = [...placesMs].sort((a, b) => a - b);
+  let lastMs = 0;
+  for (const runMs of aheadMs) {
+    replaceFirst(heap, heap[0]! + runMs);
+  }
+  for (const runMs of ownMs) {
+    const endMs = heap[0]! + runMs;
+    lastMs = Math.max(lastMs, endMs);
+    replaceFirst(heap, endMs);
+  }
+  return lastMs;
+}
+
+/** Puts a value in place of a binary heap's smallest one. */
+function replaceFirst(heap: number[], value: number): void {
+  let at = 0;
+  for (;;) {
+    const left = 2 * at + 1;
+    if (left >= heap.length) {
+      break;
+    }
+    const right = left + 1;
+    const child =
+      right < heap.length && heap[right]! < heap[left]! ? right : left;
+    if (heap[child]! >= value) {
+      break;
+    }
+    heap[at] = heap[child]!;
+    at = child;
+  }
+  heap[at] = value;
+}
--- /dev/null
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -0,0 +1,698 @@
+import type {
+  JobFailure,
+  JobId,
+  JobOutcome,
+  ScheduledJob,
+  TargetId,
+  TargetReport,
+} from '@papayarun/protocol';
+import type {JobRecord} from '../_lib/job_record.js';
+import type {LaneHost} from '../_lib/lane_host.js';
+import type {RunRecord} from '../_lib/run_record.js';
+import type {TaskRecord} from '../_lib/task_record.js';
+import {createJobRecord} from '../_lib/create_job_record.js';
+import {TargetLane} from '../_lib/target_lane.js';
+import {admitJob} from '../admit_job/admit_job.js';
+import type {Admission} from '../admit_job/admission.js';
+import {chooseTarget} from '../choose_target/choose_target.js';
+import {expectedFinish} from '../expected_finish/expected_finish.js';
+import {RunEstimates} from '../run_estimates/run_estimates.js';
+import type {EndReport} from '../target_port/end_report.js';
+import type {SchedulerOptions} from './scheduler_options.js';
+
+/** Period of the checks for stragglers and passed deadlines, in ms. */
+const WATCH_PERIOD_MS = 40;
+/** A run is a straggler after this many times its expected time... */
+const STRAGGLER_FACTOR = 3;
+/** ...and this much more, in ms. */
+const STRAGGLER_SLACK_MS = 100;
+/** Time before a caller leaves at which its job is given up, in ms. */
+const ANSWER_MARGIN_MS = 20;
+/** Silence of a target that is neither heard nor reported, in ms. */
+const FORGET_TARGET_MS = 10_000;
+/** Completed jobs whose outcome is kept for callers that send again. */
+const MAX_KEPT_OUTCOMES = 1_024;
+/** When a caller may come back while a scheduler takes over, in ms. */
+const TAKEOVER_RETRY_MS = 500;
+
+/**
+ * Schedules the tasks of jobs on the targets of a data centre.
+ *
+ * @description Active while the instance holds the data centre's grant. All
+ * decisions of waiting, refusing and placing are made by pure functions; this
+ * class keeps the state they work on.
+ */
+export class Scheduler {
+  private readonly estimates = RunEstimates.create();
+  private readonly jobs = new Map<JobId, JobRecord>();
+  private readonly lanes = new Map<TargetId, TargetLane>();
+  private readonly kept = new Map<JobId, JobOutcome>();
+  /** Jobs with waiting tasks, the most urgent first. */
+  private waiting: JobRecord[] = [];
+  private host: LaneHost | undefined;
+  private ending = new AbortController();
+  private sequence = 0;
+  private isPumpDue = false;
+
+  private constructor(private readonly opts: SchedulerOptions) {}
+
+  /**
+   * Makes a scheduler that holds no grant.
+   *
+   * @param opts - Way to the targets, clock, log and timing.
+   * @returns The scheduler.
+   * @example
+   * const scheduler = Scheduler.create(opts);
+   * scheduler.begin(7);
+   */
+  static create(opts: SchedulerOptions): Scheduler {
+    return new Scheduler(opts);
+  }
+
+  /** Fencing token of the grant that it works under. */
+  get token(): number | undefined {
+    return this.host?.token;
+  }
+
+  /** Jobs that have no task started. */
+  get waitingJobs(): number {
+    return this.waiting.length;
+  }
+
+  get runningTasks(): number {
+    let count = 0;
+    for (const lane of this.lanes.values()) {
+      count += lane.runs.size;
+    }
+    return count;
+  }
+
+  get targets(): number {
+    return this.lanes.size;
+  }
+
+  /**
+   * Takes over under a grant; targets are asked for their runs first.
+   *
+   * @param token - Fencing token of the grant.
+   */
+  begin(token: number): void {
+    if (this.host && this.host.token >= token) {
+      return;
+    }
+    this.end();
+    this.ending = new AbortController();
+    this.host = {
+      port: this.opts.port,
+      clock: this.opts.clock,
+      log: this.opts.log,
+      timing: this.opts.timing,
+      token,
+      ended: (run, how) => this.runEnded(run, how),
+      notRun: (run, reason) => this.runVoid(run, reason),
+      fenced: () => this.fenced(token),
+      changed: () => this.pumpSoon(),
+    };
+    this.opts.log.emit('schedulerBegun', {token});
+    void this.watch(this.ending.signal);
+  }
+
+  /** Gives the grant up; jobs go to the next scheduler by their entries. */
+  end(): void {
+    const {host} = this;
+    if (!host) {
+      return;
+    }
+    this.host = undefined;
+    this.ending.abort();
+    for (const lane of this.lanes.values()) {
+      lane.end();
+    }
+    this.lanes.clear();
+    for (const record of [...this.jobs.values()]) {
+      this.conclude(
+        record,
+        record.mayHaveRun
+          ? {kind: 'failed', reason: 'schedulerLost'}
+          : {
+              kind: 'refused',
+              reason: 'notScheduler',
+              retryAfterMs: TAKEOVER_RETRY_MS,
+            },
+      );
+    }
+    this.opts.log.emit('schedulerEnded', {token: host.token});
+  }
+
+  /**
+   * Takes in what a target says of itself.
+   *
+   * @param report - The report.
+   * @returns Whether this scheduler takes care of the target.
+   */
+  accept(report: TargetReport): boolean {
+    if (!this.host) {
+      return false;
+    }
+    const lane = this.lanes.get(report.targetId);
+    if (lane && lane.report.bornMs > report.bornMs) {
+      return true;
+    }
+    if (lane && lane.report.bornMs === report.bornMs) {
+      lane.update(report);
+      if (report.state !== 'ready') {
+        this.opts.log.emit('targetLeaving', {
+          target: report.targetId,
+          state: report.state,
+        });
+      }
+      this.pumpSoon();
+      return true;
+    }
+    if (lane) {
+      lane.loseRuns();
+      this.removeLane(lane, 'restarted');
+    }
+    if (report.state !== 'gone') {
+      this.lanes.set(report.targetId, TargetLane.create(this.host, report));
+      this.opts.log.emit('targetAdded', {target: report.targetId});
+    }
+    return true;
+  }
+
+  /**
+   * Runs a job, or refuses it at once.
+   *
+   * @param job - The job.
+   * @returns How it ended; a job that is here already is joined.
+   */
+  submit(job: ScheduledJob): Promise<JobOutcome> {
+    const present = this.jobs.get(job.id);
+    if (present) {
+      return present.outcome;
+    }
+    const kept = this.kept.get(job.id);
+    if (kept) {
+      return Promise.resolve(kept);
+    }
+    if (!this.host) {
+      return Promise.resolve({
+        kind: 'refused',
+        reason: 'notScheduler',
+        retryAfterMs: TAKEOVER_RETRY_MS,
+      });
+    }
+    const expectedMs = job.steps.map(step =>
+      this.estimates.expect(job.kind, step.estimateMs),
+    );
+    const record = createJobRecord(
+      job,
+      expectedMs,
+      ++this.sequence,
+      this.opts.clock.now(),
+    );
+    if (job.submission > 0) {
+      this.jobs.set(job.id, record);
+      this.adopt(record);
+    } else {
+      const admission = this.admission(record);
+      if (admission.kind === 'refused') {
+        return Promise.resolve(this.refuse(record, admission));
+      }
+      this.jobs.set(job.id, record);
+    }
+    this.enqueue(record);
+    this.pump();
+    return record.outcome;
+  }
+
+  /**
+   * Gives a job up, since nobody waits for it any more.
+   *
+   * @param jobId - The job.
+   */
+  cancel(jobId: JobId): void {
+    const record = this.jobs.get(jobId);
+    if (record) {
+      this.fail(record, 'cancelled');
+    }
+  }
+
+  private admission(record: JobRecord): Admission {
+    const nowMs = this.opts.clock.now();
+    const places = this.placesFor(record, nowMs);
+    const aheadMs: number[] = [];
+    for (const other of this.waiting) {
+      if (other.job.priority <= record.job.priority) {
+        for (const task of other.tasks) {
+          if (task.state === 'waiting') {
+            aheadMs.push(other.expectedMs[task.step]!);
+          }
+        }
+      }
+    }
+    const ownMs = record.tasks.map(task => record.expectedMs[task.step]!);
+    return admitJob({
+      places: places.length,
+      finishMs: expectedFinish(places, aheadMs, ownMs),
+      objectiveLeftMs: record.objectiveAtMs - nowMs,
+      callerLeftMs: record.callerLeavesAtMs - nowMs,
+      waitingJobs: this.waiting.length,
+    });
+  }
+
+  /** Time until each place for tasks of a job's first step is free. */
+  private placesFor(record: JobRecord, nowMs: number): number[] {
+    const {service, steps} = record.job;
+    const {needs} = steps[0]!;
+    const places: number[] = [];
+    for (const lane of this.lanes.values()) {
+      if (!lane.isOpen || lane.report.service !== service) {
+        continue;
+      }
+      const free = lane.free();
+      const count = Math.min(
+        needs.cores > 0 ? Math.floor(free.cores / needs.cores) : Infinity,
+        needs.memoryMb > 0
+          ? Math.floor(free.memoryMb / needs.memoryMb)
+          : Infinity,
+        record.tasks.length,
+      );
+      for (let i = 0; i < count; i++) {
+        places.push(0);
+      }
+      for (const run of lane.runs.values()) {
+        places.push(Math.max(0, run.orderedMs + run.expectedMs - nowMs));
+      }
+    }
+    return places;
+  }
+
+  private refuse(
+    record: JobRecord,
+    admission: Extract<Admission, {kind: 'refused'}>,
+  ): JobOutcome {
+    const {reason, retryAfterMs} = admission;
+    const outcome: JobOutcome = {kind: 'refused', reason, retryAfterMs};
+    record.isOver = true;
+    this.note(record, outcome);
+    return outcome;
+  }
+
+  /** Finds the runs of a job that an earlier scheduler had. */
+  private adopt(record: JobRecord): void {
+    for (const task of record.tasks) {
+      for (const lane of this.lanes.values()) {
+        const found = lane.adopt(task.taskId);
+        if (found?.kind === 'running') {
+          const run = this.makeRun(task, lane, found.run);
+          run.state = 'running';
+          run.confirmedMs = run.orderedMs;
+          task.state = 'placed';
+          task.run = run;
+          lane.attach(run);
+        } else if (found?.end.how === 'done') {
+          task.state = 'done';
+        }
+      }
+    }
+    const all = [...this.lanes.values()];
+    const isCertain = all.every(lane => lane.isConfirmed);
+    if (!isCertain && record.tasks.some(task => task.state === 'waiting')) {
+      // A task may still run at a target that has not answered yet.
+      this.fail(record, 'schedulerLost');
+    }
+    this.completeIfDone(record);
+  }
+
+  private enqueue(record: JobRecord): void {
+    if (record.isOver) {
+      return;
+    }
+    const at = this.waiting.findIndex(other => isBefore(record, other));
+    if (at < 0) {
+      this.waiting.push(record);
+    } else {
+      this.waiting.splice(at, 0, record);
+    }
+  }
+
+  private pumpSoon(): void {
+    if (!this.isPumpDue) {
+      this.isPumpDue = true;
+      queueMicrotask(() => {
+        this.isPumpDue = false;
+        this.pump();
+      });
+    }
+  }
+
+  /** Places waiting tasks, in the order of the jobs. */
+  private pump(): void {
+    if (!this.host || this.waiting.length === 0) {
+      return;
+    }
+    const options = this.options();
+    for (const record of [...this.waiting]) {
+      for (const task of record.tasks) {
+        if (task.state === 'waiting') {
+          this.place(task, options);
+        }
+      }
+    }
+    this.waiting = this.waiting.filter(record =>
+      record.tasks.some(task => task.state === 'waiting'),
+    );
+  }
+
+  private options(): LaneOption[] {
+    const options: LaneOption[] = [];
+    for (const lane of this.lanes.values()) {
+      if (lane.isOpen) {
+        options.push({
+          lane,
+          targetId: lane.report.targetId,
+          free: lane.free(),
+          slowness: lane.slowness,
+          isSuspect: lane.trust.kind === 'suspect',
+          runs: lane.runs.size,
+        });
+      }
+    }
+    return options;
+  }
+
+  private place(task: TaskRecord, options: LaneOption[]): void {
+    const {job} = task.job;
+    const step = job.steps[task.step]!;
+    const usable = options.filter(
+      ({lane}) =>
+        lane.report.service === job.service &&
+        !task.avoid.has(lane.report.targetId) &&
+        (step.requiredLabel === undefined ||
+          lane.report.labels.includes(step.requiredLabel)) &&
+        (step.maxPerTarget === undefined ||
+          countOf(task.job, task.step, lane) < step.maxPerTarget),
+    );
+    const chosen = chooseTarget(usable, step.needs);
+    if (!chosen) {
+      return;
+    }
+    const {lane} = chosen;
+    const run = this.makeRun(task, lane, task.nextRun++);
+    task.state = 'placed';
+    task.run = run;
+    task.job.mayHaveRun = true;
+    void lane.start(run);
+    chosen.free = lane.free();
+    chosen.runs = lane.runs.size;
+    if (this.opts.log.decisions) {
+      this.opts.log.emit('taskPlaced', {
+        taskId: task.taskId,
+        run: run.run,
+        target: lane.report.targetId,
+        waitedMs: Math.round(this.opts.clock.now() - task.job.receivedMs),
+        slowness: Number(lane.slowness.toFixed(2)),
+      });
+    }
+  }
+
+  private makeRun(task: TaskRecord, lane: TargetLane, run: number): RunRecord {
+    return {
+      task,
+      run,
+      lane,
+      needs: task.job.job.steps[task.step]!.needs,
+      state: 'starting',
+      orderedMs: this.opts.clock.now(),
+      confirmedMs: undefined,
+      expectedMs: task.job.expectedMs[task.step]! * lane.slowness,
+      leaseEndMs: lane.leaseEnd(),
+      isAbandoned: false,
+    };
+  }
+
+  private runEnded(run: RunRecord, how: EndReport['how']): void {
+    const {task} = run;
+    const {lane} = run;
+    const ranMs = this.opts.clock.now() - (run.confirmedMs ?? run.orderedMs);
+    if (how === 'done' && !run.isAbandoned) {
+      const {job, expectedMs} = task.job;
+      const {estimateMs} = job.steps[task.step]!;
+      const {slowness} = lane;
+      this.estimates.learn(job.kind, estimateMs, ranMs / slowness);
+      lane.learn('succeeded', ranMs / Math.max(1, expectedMs[task.step]!));
+    } else if (how === 'failed') {
+      lane.learn('failed');
+    }
+    this.pumpSoon();
+    if (run.isAbandoned || task.run !== run || task.job.isOver) {
+      return;
+    }
+    task.run = undefined;
+    if (how === 'done') {
+      task.state = 'done';
+      this.unblock(task.job);
+      this.completeIfDone(task.job);
+      return;
+    }
+    if (how === 'failed' && ++task.failures >= task.job.job.maxAttempts) {
+      this.fail(task.job, 'taskFailed');
+      return;
+    }
+    this.retry(task, run, how);
+  }
+
+  private runVoid(run: RunRecord, reason: string): void {
+    const {task} = run;
+    this.pumpSoon();
+    if (run.isAbandoned || task.run !== run || task.job.isOver) {
+      return;
+    }
+    task.run = undefined;
+    this.retry(task, run, reason);
+  }
+
+  /** Lets a task wait again, if there is time left for it. */
+  private retry(task: TaskRecord, run: RunRecord, reason: string): void {
+    const {job: record, step} = task;
+    const target = run.lane.report.targetId;
+    const leftMs = record.callerLeavesAtMs - this.opts.clock.now();
+    this.opts.log.emit('taskRetried', {
+      taskId: task.taskId,
+      run: run.run,
+      reason,
+      target,
+      leftMs: Math.round(leftMs),
+    });
+    if (record.expectedMs[step]! > leftMs) {
+      this.fail(record, 'deadline');
+      return;
+    }
+    task.avoid.add(target);
+    const isQueued = this.waiting.includes(record);
+    task.state = 'waiting';
+    if (!isQueued) {
+      this.enqueue(record);
+    }
+    this.pumpSoon();
+  }
+
+  private unblock(record: JobRecord): void {
+    record.job.steps.forEach((step, n) => {
+      const isReady = step.after.every(m =>
+        record.tasks.every(task => task.step !== m || task.state === 'done'),
+      );
+      if (!isReady) {
+        return;
+      }
+      for (const task of record.tasks) {
+        if (task.step === n && task.state === 'blocked') {
+          task.state = 'waiting';
+        }
+      }
+    });
+    if (
+      record.tasks.some(task => task.state === 'waiting') &&
+      !this.waiting.includes(record)
+    ) {
+      this.enqueue(record);
+    }
+  }
+
+  private completeIfDone(record: JobRecord): void {
+    if (record.tasks.every(task => task.state === 'done')) {
+      this.conclude(record, {kind: 'completed'});
+    }
+  }
+
+  /** Ends a job that can't be completed, and stops what runs of it. */
+  private fail(record: JobRecord, reason: JobFailure): void {
+    for (const task of record.tasks) {
+      if (task.run) {
+        task.run.isAbandoned = true;
+        void task.run.lane.stop(task.run);
+      }
+    }
+    const isRefusal = !record.mayHaveRun;
+    this.conclude(
+      record,
+      isRefusal
+        ? {
+            kind: 'refused',
+            reason: reason === 'cancelled' ? 'cancelled' : 'tooLate',
+            retryAfterMs: TAKEOVER_RETRY_MS,
+          }
+        : {kind: 'failed', reason},
+    );
+  }
+
+  private conclude(record: JobRecord, outcome: JobOutcome): void {
+    if (record.isOver) {
+      return;
+    }
+    record.isOver = true;
+    this.jobs.delete(record.job.id);
+    this.waiting = this.waiting.filter(other => other !== record);
+    if (outcome.kind === 'completed') {
+      this.kept.set(record.job.id, outcome);
+      if (this.kept.size > MAX_KEPT_OUTCOMES) {
+        this.kept.delete(this.kept.keys().next().value!);
+      }
+    }
+    this.note(record, outcome);
+    record.finish(outcome);
+  }
+
+  private note(record: JobRecord, outcome: JobOutcome): void {
+    const {job} = record;
+    const tookMs = this.opts.clock.now() - record.receivedMs;
+    this.opts.onOutcome(job, outcome, tookMs);
+    this.opts.log.emit(
+      outcome.kind === 'refused' ? 'jobRefused' : 'jobScheduled',
+      {
+        jobId: job.id,
+        kind: job.kind,
+        outcome: outcome.kind,
+        reason: 'reason' in outcome ? outcome.reason : undefined,
+        tookMs: Math.round(tookMs),
+        objectiveMs: Math.round(record.objectiveAtMs - record.receivedMs),
+        tasks: record.tasks.length,
+        done: record.tasks.filter(task => task.state === 'done').length,
+        waiting: this.waiting.length,
+        targets: this.lanes.size,
+      },
+    );
+  }
+
+  private fenced(token: number): void {
+    if (this.host?.token === token) {
+      this.opts.log.emit('schedulerFenced', {token});
+      this.end();
+      this.opts.onFenced(token);
+    }
+  }
+
+  private async watch(ending: AbortSignal): Promise<void> {
+    while (!ending.aborted) {
+      await this.opts.clock.sleep(WATCH_PERIOD_MS, ending);
+      if (ending.aborted) {
+        return;
+      }
+      const nowMs = this.opts.clock.now();
+      for (const record of [...this.jobs.values()]) {
+        this.checkJob(record, nowMs);
+      }
+      for (const lane of [...this.lanes.values()]) {
+        this.checkLane(lane, nowMs);
+      }
+    }
+  }
+
+  private checkJob(record: JobRecord, nowMs: number): void {
+    const leftMs = record.callerLeavesAtMs - nowMs;
+    if (leftMs < ANSWER_MARGIN_MS) {
+      this.fail(record, 'deadline');
+      return;
+    }
+    for (const task of record.tasks) {
+      if (record.isOver) {
+        return;
+      }
+      if (task.state === 'waiting' && record.expectedMs[task.step]! > leftMs) {
+        this.fail(record, 'deadline');
+      } else if (task.run) {
+        this.checkRun(task, task.run, nowMs, leftMs);
+      }
+    }
+  }
+
+  private checkRun(
+    task: TaskRecord,
+    run: RunRecord,
+    nowMs: number,
+    leftMs: number,
+  ): void {
+    const {lane} = run;
+    const freshMs = task.job.expectedMs[task.step]!;
+    if (
+      lane.silentSinceMs !== undefined &&
+      lane.certainEndMs + freshMs > task.job.callerLeavesAtMs
+    ) {
+      this.fail(task.job, 'targetLost');
+      return;
+    }
+    const ranMs = nowMs - run.orderedMs;
+    const isStraggler =
+      run.state === 'running' &&
+      ranMs > STRAGGLER_FACTOR * freshMs + STRAGGLER_SLACK_MS;
+    if (isStraggler && freshMs < leftMs) {
+      lane.learn('failed', ranMs / freshMs);
+      this.opts.log.emit('stragglerStopped', {
+        taskId: task.taskId,
+        target: lane.report.targetId,
+        ranMs: Math.round(ranMs),
+        expectedMs: Math.round(freshMs),
+      });
+      void lane.stop(run);
+    }
+  }
+
+  private checkLane(lane: TargetLane, nowMs: number): void {
+    lane.passTime();
+    const isUnheard = nowMs - lane.heardMs > FORGET_TARGET_MS;
+    const isGone = lane.report.state === 'gone' && lane.runs.size === 0;
+    if (isGone || (isUnheard && lane.runs.size === 0)) {
+      this.removeLane(lane, isGone ? 'left' : 'silent');
+    }
+  }
+
+  private removeLane(lane: TargetLane, reason: string): void {
+    lane.end();
+    this.lanes.delete(lane.report.targetId);
+    this.opts.log.emit('targetGone', {target: lane.report.targetId, reason});
+  }
+}
+
+/** A lane as the choice of a place sees it. */
+interface LaneOption {
+  readonly lane: TargetLane;
+  readonly targetId: TargetId;
+  free: ReturnType<TargetLane['free']>;
+  readonly slowness: number;
+  readonly isSuspect: boolean;
+  runs: number;
+}
+
+/** Whether a job's tasks go before another's: by priority, then arrival. */
+function isBefore(a: JobRecord, b: JobRecord): boolean {
+  return a.job.priority === b.job.priority
+    ? a.sequence < b.sequence
+    : a.job.priority < b.job.priority;
+}
+
+function countOf(record: JobRecord, step: number, lane: TargetLane): number {
+  return record.tasks.filter(
+    task => task.step === step && task.run?.lane === lane,
+  ).length;
+}
--- /dev/null
+++ b/packages/scheduling/src/scheduler/scheduler_timing.ts
@@ -0,0 +1,11 @@
+/**
+ * Periods and bounds of a scheduler, in milliseconds.
+ */
+export interface SchedulerTiming {
+  /** Longest lease that targets grant. */
+  readonly maxLeaseMs: number;
+  /** Longest time that a target takes to stop a run. */
+  readonly stopMs: number;
+  /** Time for an answer to an order to start or stop. */
+  readonly orderTimeoutMs: number;
+}
--- /dev/null
+++ b/packages/scheduling/src/target_port/hold_result.ts
@@ -0,0 +1,20 @@
+import type {EndReport} from './end_report.js';
+import type {OrderRejection} from './order_rejection.js';
+import type {RunReport} from './run_report.js';
+
+/**
+ * What a target answered to an order to hold.
+ */
+export type HoldResult =
+  | {
+      readonly kind: 'held';
+      readonly clockMs: number;
+      readonly running: readonly RunReport[];
+      readonly ended: readonly EndReport[];
+    }
+  | {
+      readonly kind: 'rejected';
+      readonly reason: OrderRejection;
+      readonly clockMs: number | undefined;
+    }
+  | {readonly kind: 'unknown'; readonly reason: string};
