Schedulers hand over what they ordered; wide jobs split over data centres

Wide jobs were refused by each data centre for itself, and waiting was judged without the urgent work that comes meanwhile.

Ruled out: fencing (all tokens rose), late orders.

Change: a scheduler that ends says which tasks it placed where; the next one asks those targets before it starts anything again. Refusals carry how many tasks could be done in time; the entry splits a job by these offers. The expected wait is stretched by the share of urgent work.

--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -15,6 +15,7 @@
 import {QueueTable} from '../work_queue/queue_table.js';
 import type {WorkQueue} from '../work_queue/work_queue.js';
 import type {EntryInstanceOptions} from './entry_instance_options.js';
+import {splitSteps} from './split_steps.js';
 
 /** Time beyond the caller's deadline for a scheduler's answer, in ms. */
 const ANSWER_SLACK_MS = 100;
@@ -26,6 +27,15 @@
 /** When a caller may come back if no scheduler can be reached, in ms. */
 const NO_SCHEDULER_RETRY_MS = 1_000;
 
+type Refused = Extract<JobOutcome, {kind: 'refused'}>;
+const NO_SCHEDULER: Refused = {
+  kind: 'refused',
+  reason: 'notScheduler',
+  retryAfterMs: NO_SCHEDULER_RETRY_MS,
+  offer: 0,
+};
+const LOST = {kind: 'failed', reason: 'schedulerLost'} as const;
+
 /**
  * An instance that takes callers' jobs, and schedules a data centre's targets
  * while it holds the grant for them.
@@ -115,33 +125,27 @@
    */
   async submit(job: ScheduledJob, signal: AbortSignal): Promise<JobOutcome> {
     const startedMs = this.opts.clock.now();
-    const tried = new Set<DataCentreId>();
-    let refusal: JobOutcome = {
-      kind: 'refused',
-      reason: 'noTargets',
-      retryAfterMs: NO_SCHEDULER_RETRY_MS,
-    };
-    for (;;) {
-      const holder = this.holders().find(h => !tried.has(h.dataCentre));
-      if (!holder || signal.aborted) {
+    let refusal: Refused = NO_SCHEDULER;
+    const asked: Holder[] = [];
+    const offers: number[] = [];
+    for (const holder of this.holders()) {
+      if (signal.aborted) {
         return refusal;
       }
-      const spentMs = this.opts.clock.now() - startedMs;
-      const aged = {
-        ...job,
-        ageMs: job.ageMs + spentMs,
-        leftMs: job.leftMs - spentMs,
-      };
-      const outcome = await this.submitTo(holder.grant, aged, signal);
-      if (outcome.kind === 'failed' && outcome.reason === 'schedulerLost') {
-        return this.submitAgain(holder, aged, signal);
-      }
+      const aged = this.aged(job, startedMs);
+      const outcome = await this.submitUntilSettled(holder, aged, signal);
       if (outcome.kind !== 'refused') {
         return outcome;
       }
       refusal = outcome;
-      tried.add(holder.dataCentre);
+      asked.push(holder);
+      offers.push(outcome.offer);
+      const parts = splitSteps(this.aged(job, startedMs), offers);
+      if (parts) {
+        return this.submitParts(asked, parts, signal);
+      }
     }
+    return refusal;
   }
 
   /** Takes other seeds, after the settings have changed. */
@@ -297,51 +301,110 @@
         err: (err as Error).message,
       });
       return err instanceof PeerCallError && !err.maybeSent
-        ? {
-            kind: 'refused',
-            reason: 'notScheduler',
-            retryAfterMs: NO_SCHEDULER_RETRY_MS,
-          }
-        : {kind: 'failed', reason: 'schedulerLost'};
+        ? NO_SCHEDULER
+        : LOST;
     }
   }
 
-  /** Hands a job whose scheduler was lost to the successor. */
-  private async submitAgain(
-    lost: Holder,
-    job: ScheduledJob,
+  /** A job as it is now, after time has passed here. */
+  private aged(job: ScheduledJob, sinceMs: number): ScheduledJob {
+    const spentMs = this.opts.clock.now() - sinceMs;
+    return {
+      ...job,
+      ageMs: job.ageMs + spentMs,
+      leftMs: job.leftMs - spentMs,
+    };
+  }
+
+  /** Runs the parts of a job; one that fails ends the others. */
+  private async submitParts(
+    holders: readonly Holder[],
+    parts: ReadonlyArray<ScheduledJob | undefined>,
     signal: AbortSignal,
   ): Promise<JobOutcome> {
-    const {clock, log} = this.opts;
-    const startedMs = clock.now();
-    const waitMs = Math.min(MAX_SUCCESSOR_WAIT_MS, job.leftMs);
-    while (!signal.aborted && clock.now() - startedMs < waitMs) {
-      const next = this.holders().find(h => h.dataCentre === lost.dataCentre);
-      if (next && next.grant.token > lost.grant.token) {
-        const spentMs = clock.now() - startedMs;
-        log.emit('jobHandedOver', {
-          jobId: job.id,
-          to: next.grant.instanceId,
-          token: next.grant.token,
-          afterMs: Math.round(spentMs),
-        });
-        const outcome = await this.submitTo(
-          next.grant,
-          {
-            ...job,
-            ageMs: job.ageMs + spentMs,
-            leftMs: job.leftMs - spentMs,
-            submission: job.submission + 1,
-          },
-          signal,
+    const ending = new AbortController();
+    const cancel = (): void => ending.abort();
+    signal.addEventListener('abort', cancel, {once: true});
+    this.opts.log.emit('jobSplit', {
+      jobId: parts.find(part => part)?.id,
+      tasks: parts.map(part => part?.steps[0]?.count ?? 0),
+      schedulers: holders.map(holder => holder.grant.instanceId),
+    });
+    const outcomes = await Promise.all(
+      holders.map(async (holder, i) => {
+        const part = parts[i];
+        if (!part) {
+          return undefined;
+        }
+        const outcome = await this.submitUntilSettled(
+          holder,
+          part,
+          ending.signal,
         );
-        return outcome.kind === 'refused'
-          ? {kind: 'failed', reason: 'schedulerLost'}
-          : outcome;
+        if (outcome.kind !== 'completed') {
+          ending.abort();
+        }
+        return outcome;
+      }),
+    );
+    signal.removeEventListener('abort', cancel);
+    const ended = outcomes.filter(outcome => outcome !== undefined);
+    const bad = ended.filter(outcome => outcome.kind !== 'completed');
+    const failed = bad.find(outcome => outcome.kind === 'failed');
+    if (bad.length === 0) {
+      return {kind: 'completed'};
+    }
+    return bad.length === ended.length && !failed
+      ? bad[0]!
+      : (failed ?? {kind: 'failed', reason: 'schedulerLost'});
+  }
+
+  /** Runs a job at a scheduler, and at its successors if it ends meanwhile. */
+  private async submitUntilSettled(
+    holder: Holder,
+    job: ScheduledJob,
+    signal: AbortSignal,
+  ): Promise<Exclude<JobOutcome, {kind: 'handedOver'}>> {
+    const startedMs = this.opts.clock.now();
+    let {grant} = holder;
+    let placed = job.placed;
+    for (;;) {
+      const aged = {...this.aged(job, startedMs), placed};
+      const outcome = await this.submitTo(grant, aged, signal);
+      if (outcome.kind !== 'handedOver') {
+        return placed && outcome.kind === 'refused' ? LOST : outcome;
+      }
+      placed = outcome.placed;
+      const next = await this.successorOf(holder.dataCentre, grant, signal);
+      if (!next) {
+        return LOST;
+      }
+      this.opts.log.emit('jobHandedOver', {
+        jobId: job.id,
+        to: next.instanceId,
+        token: next.token,
+        placed: placed.length,
+      });
+      grant = next;
+    }
+  }
+
+  /** Waits until another scheduler of a data centre can be reached. */
+  private async successorOf(
+    dataCentre: DataCentreId,
+    former: SchedulerGrant,
+    signal: AbortSignal,
+  ): Promise<SchedulerGrant | undefined> {
+    const {clock} = this.opts;
+    const startedMs = clock.now();
+    while (!signal.aborted && clock.now() - startedMs < MAX_SUCCESSOR_WAIT_MS) {
+      const next = this.holders().find(h => h.dataCentre === dataCentre);
+      if (next && next.grant.token > former.token) {
+        return next.grant;
       }
       await clock.sleep(SUCCESSOR_POLL_MS);
     }
-    return {kind: 'failed', reason: 'schedulerLost'};
+    return undefined;
   }
 
   private async scheduleFor(
--- a/packages/protocol/src/event_log/event_catalogue.ts
+++ b/packages/protocol/src/event_log/event_catalogue.ts
@@ -188,6 +188,16 @@
     level: 'info',
     text: 'decision: a run that takes far too long is stopped',
   },
+  taskAdopted: {
+    number: 5011,
+    level: 'info',
+    text: 'decision: what becomes of a task that an earlier scheduler ordered',
+  },
+  jobSplit: {
+    number: 5012,
+    level: 'info',
+    text: 'decision: a job goes in parts to several schedulers',
+  },
   jobHandedOver: {
     number: 5010,
     level: 'info',
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -73,6 +73,7 @@
 export * from './scheduling/job_failure.js';
 export * from './scheduling/job_outcome.js';
 export * from './scheduling/job_refusal.js';
+export * from './scheduling/placed_task.js';
 export * from './scheduling/scheduled_job.js';
 export * from './scheduling/scheduled_step.js';
 export * from './scheduling/target_report.js';
--- a/packages/protocol/src/scheduling/job_outcome.ts
+++ b/packages/protocol/src/scheduling/job_outcome.ts
@@ -1,17 +1,22 @@
 import type {JobFailure} from './job_failure.js';
 import type {JobRefusal} from './job_refusal.js';
+import type {PlacedTask} from './placed_task.js';
 
 /**
  * How a scheduler ended a job.
  *
  * @description Only `refused` promises that no task has run or ever will.
+ * `handedOver`: the scheduler ends and knows all that it has ordered.
  */
 export type JobOutcome =
   | {readonly kind: 'completed'}
   | {readonly kind: 'failed'; readonly reason: JobFailure}
+  | {readonly kind: 'handedOver'; readonly placed: readonly PlacedTask[]}
   | {
       readonly kind: 'refused';
       readonly reason: JobRefusal;
       /** When to come back, in milliseconds. */
       readonly retryAfterMs: number;
+      /** Tasks of it that could be done in time here. */
+      readonly offer: number;
     };
--- a/packages/protocol/src/scheduling/scheduled_job.ts
+++ b/packages/protocol/src/scheduling/scheduled_job.ts
@@ -1,6 +1,7 @@
 import type {JobId} from '../ids/job_id.js';
 import type {KindId} from '../ids/kind_id.js';
 import type {ServiceId} from '../ids/service_id.js';
+import type {PlacedTask} from './placed_task.js';
 import type {ScheduledStep} from './scheduled_step.js';
 
 /**
@@ -24,6 +25,8 @@
   readonly ageMs: number;
   /** Time until the caller stops waiting, in milliseconds. */
   readonly leftMs: number;
-  /** How often this job was handed to a scheduler before. */
-  readonly submission: number;
+  /** Whether it is taken even if it will be late, as a part of a split job. */
+  readonly isPromised: boolean;
+  /** What an earlier scheduler had ordered; absent if there was none. */
+  readonly placed?: readonly PlacedTask[];
 }
--- a/packages/protocol/src/scheduling/scheduled_step.ts
+++ b/packages/protocol/src/scheduling/scheduled_step.ts
@@ -5,6 +5,8 @@
  */
 export interface ScheduledStep {
   readonly count: number;
+  /** Index of the first task, where a job is split over schedulers. */
+  readonly firstIndex: number;
   /** Needs of each task. */
   readonly needs: Resources;
   /** Declared run time of a task, in milliseconds; often far off. */
--- /dev/null
+++ b/packages/scheduling/src/_lib/job_key.ts
@@ -0,0 +1,14 @@
+import type {ScheduledJob} from '@papayarun/protocol';
+
+/**
+ * Key of a job's record.
+ *
+ * @param job - The job, or a part of it.
+ * @returns The key; parts of one job have different ones.
+ * @throws Never.
+ * @example
+ * jobKey(job); // '5c0e7a21d94b36f8.0'
+ */
+export function jobKey(job: ScheduledJob): string {
+  return `${job.id}.${job.steps[0]!.firstIndex}`;
+}
--- a/packages/scheduling/src/_lib/job_record.ts
+++ b/packages/scheduling/src/_lib/job_record.ts
@@ -6,6 +6,8 @@
  */
 export interface JobRecord {
   readonly job: ScheduledJob;
+  /** Tells parts of a job that was split from each other. */
+  readonly key: string;
   /** Order of arrival. */
   readonly sequence: number;
   readonly receivedMs: number;
--- a/packages/scheduling/src/_lib/target_lane.ts
+++ b/packages/scheduling/src/_lib/target_lane.ts
@@ -216,6 +216,15 @@
     return end && {kind: 'ended', end};
   }
 
+  get hasOrphans(): boolean {
+    return this.orphans.size > 0;
+  }
+
+  /** Whether a run of a task is here that nobody has claimed. */
+  knowsOrphan(taskId: TaskId): boolean {
+    return this.orphans.has(taskId);
+  }
+
   /** Adds a run that was claimed. */
   attach(run: RunRecord): void {
     this.runs.set(run.task.taskId, run);
--- a/packages/scheduling/src/_lib/task_record.ts
+++ b/packages/scheduling/src/_lib/task_record.ts
@@ -4,12 +4,17 @@
 
 /**
  * A task of a job at the scheduler.
+ *
+ * @description `claimed`: an earlier scheduler had placed it; it is not known
+ * yet whether it runs.
  */
 export interface TaskRecord {
   readonly job: JobRecord;
   readonly taskId: TaskId;
   readonly step: number;
-  state: 'blocked' | 'waiting' | 'placed' | 'done';
+  state: 'blocked' | 'waiting' | 'claimed' | 'placed' | 'done';
+  /** Target that an earlier scheduler had ordered it at, while claimed. */
+  claimedAt: TargetId | undefined;
   /** Runs that ended as failed. */
   failures: number;
   /** Number of the next run. */
--- a/packages/scheduling/src/admit_job/admission.ts
+++ b/packages/scheduling/src/admit_job/admission.ts
@@ -10,4 +10,6 @@
       readonly reason: JobRefusal;
       /** When there should be room again, in milliseconds. */
       readonly retryAfterMs: number;
+      /** Tasks of it that could be done in time. */
+      readonly offer: number;
     };
--- a/packages/scheduling/src/admit_job/admit_job.ts
+++ b/packages/scheduling/src/admit_job/admit_job.ts
@@ -1,10 +1,16 @@
 import type {Admission} from './admission.js';
 import type {JobProspect} from './job_prospect.js';
 
-/** Bound of the waiting jobs, so that memory is bounded; SETTINGS.md. */
+/** Bound of the waiting jobs, so that memory is bounded; a count. */
 const MAX_WAITING_JOBS = 2_000;
 /** Shortest time after which a caller is asked to come back, in ms. */
 const MIN_RETRY_AFTER_MS = 250;
+/** Share of its slack that the narrowest job may spend waiting. */
+const NARROW_SHARE = 0.6;
+/** Width, as a share of the places, from which all of the slack counts. */
+const WIDE_SHARE = 0.25;
+/** Most that urgent work is taken to slow down the rest, as a share. */
+const MAX_BUSY_ABOVE = 0.8;
 
 /**
  * Decides whether a job is taken or refused at once.
@@ -12,34 +18,48 @@
  * @description Load pattern: a kind arrives faster than it can be served for
  * seconds. Taking everything makes every job late; taking only what is
  * expected to meet its objective keeps all places busy with work that counts,
- * and tells the others at once.
- * @param prospect - Expected finish and the times left.
+ * and tells the others at once. Waiting is stretched by the share of places
+ * that more urgent work takes meanwhile. Narrow jobs may use a part of their
+ * slack only, so that wide ones, which wait for many places, get in too.
+ * @param prospect - Expected ends and the times left.
  * @returns Whether it is taken, else when to come back.
  * @throws Never.
  * @example
- * admitJob({places: 8, finishMs: 90, objectiveLeftMs: 150,
- *   callerLeftMs: 1_400, waitingJobs: 0}); // {kind: 'admitted'}
+ * admitJob({places: 8, chainMs: 60, endsMs: [60, 90], busyAbove: 0,
+ *   objectiveLeftMs: 150, callerLeftMs: 1_400, waitingJobs: 0});
  */
 export function admitJob(prospect: JobProspect): Admission {
-  const {finishMs, objectiveLeftMs, callerLeftMs} = prospect;
-  if (prospect.places === 0) {
-    return refuse('noTargets', MIN_RETRY_AFTER_MS);
+  const {places, chainMs, objectiveLeftMs, callerLeftMs} = prospect;
+  if (places === 0) {
+    return refuse('noTargets', MIN_RETRY_AFTER_MS, 0);
   }
-  if (prospect.waitingJobs >= MAX_WAITING_JOBS) {
-    return refuse('tooMany', finishMs);
+  const free = 1 - Math.min(MAX_BUSY_ABOVE, prospect.busyAbove);
+  const endsMs = prospect.endsMs.map(endMs => {
+    const waitMs = Math.max(0, endMs - chainMs);
+    return endMs + waitMs / free - waitMs;
+  });
+  const width = endsMs.length / Math.max(1, places * WIDE_SHARE);
+  const share = NARROW_SHARE + (1 - NARROW_SHARE) * Math.min(1, width);
+  const slackMs = Math.max(0, objectiveLeftMs - chainMs);
+  const limitMs = Math.min(
+    objectiveLeftMs < chainMs ? objectiveLeftMs : chainMs + share * slackMs,
+    callerLeftMs,
+  );
+  const offer = endsMs.filter(endMs => endMs <= limitMs).length;
+  if (offer === endsMs.length && prospect.waitingJobs < MAX_WAITING_JOBS) {
+    return {kind: 'admitted'};
   }
-  const limitMs = Math.min(objectiveLeftMs, callerLeftMs);
-  return finishMs <= limitMs
-    ? {kind: 'admitted'}
-    : refuse('tooLate', finishMs - limitMs);
+  const lateMs = Math.max(...endsMs) - limitMs;
+  return prospect.waitingJobs >= MAX_WAITING_JOBS
+    ? refuse('tooMany', lateMs, 0)
+    : refuse('tooLate', lateMs, offer);
 }
 
 function refuse(
   reason: Extract<Admission, {kind: 'refused'}>['reason'],
   afterMs: number,
+  offer: number,
 ): Admission {
-  const retryAfterMs = Number.isFinite(afterMs)
-    ? Math.max(MIN_RETRY_AFTER_MS, Math.ceil(afterMs))
-    : MIN_RETRY_AFTER_MS;
-  return {kind: 'refused', reason, retryAfterMs};
+  const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, Math.ceil(afterMs));
+  return {kind: 'refused', reason, retryAfterMs, offer};
 }
--- a/packages/scheduling/src/admit_job/job_prospect.ts
+++ b/packages/scheduling/src/admit_job/job_prospect.ts
@@ -4,8 +4,12 @@
 export interface JobProspect {
   /** Places, busy or free, that tasks of this size may use. */
   readonly places: number;
-  /** Time until its last task is expected to end, in milliseconds. */
-  readonly finishMs: number;
+  /** Run time of its longest chain, in milliseconds. */
+  readonly chainMs: number;
+  /** Time until each task is expected to end, in milliseconds. */
+  readonly endsMs: readonly number[];
+  /** Share of the places that more urgent work keeps busy, 0 to 1. */
+  readonly busyAbove: number;
   /** Time from now until its objective has passed, in milliseconds. */
   readonly objectiveLeftMs: number;
   /** Time until its caller stops waiting, in milliseconds. */
--- a/packages/scheduling/src/expected_finish/expected_finish.ts
+++ b/packages/scheduling/src/expected_ends/expected_ends.ts
@@ -1,5 +1,5 @@
 /**
- * When a group of tasks is expected to have finished.
+ * When each task of a group is expected to have ended.
  *
  * @description List scheduling over equal places: work that is ahead takes the
  * earliest free place first, the group's own tasks follow.
@@ -7,30 +7,29 @@
  *   free one.
  * @param aheadMs - Run times of the waiting tasks that go first, in order.
  * @param ownMs - Run times of the group's tasks.
- * @returns Milliseconds until the last own task ends; infinite without places.
+ * @returns Milliseconds until each own task ends, in order; infinite without
+ *   places.
  * @throws Never.
  * @example
- * expectedFinish([0, 40], [], [60, 60]); // 100
+ * expectedEnds([0, 40], [], [60, 60]); // [60, 100]
  */
-export function expectedFinish(
+export function expectedEnds(
   placesMs: readonly number[],
   aheadMs: readonly number[],
   ownMs: readonly number[],
-): number {
+): number[] {
   if (placesMs.length === 0) {
-    return Infinity;
+    return ownMs.map(() => Infinity);
   }
   const heap = [...placesMs].sort((a, b) => a - b);
-  let lastMs = 0;
   for (const runMs of aheadMs) {
     replaceFirst(heap, heap[0]! + runMs);
   }
-  for (const runMs of ownMs) {
+  return ownMs.map(runMs => {
     const endMs = heap[0]! + runMs;
-    lastMs = Math.max(lastMs, endMs);
     replaceFirst(heap, endMs);
-  }
-  return lastMs;
+    return endMs;
+  });
 }
 
 /** Puts a value in place of a binary heap's smallest one. */
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -2,6 +2,7 @@
   JobFailure,
   JobId,
   JobOutcome,
+  PlacedTask,
   ScheduledJob,
   TargetId,
   TargetReport,
@@ -11,11 +12,14 @@
 import type {RunRecord} from '../_lib/run_record.js';
 import type {TaskRecord} from '../_lib/task_record.js';
 import {createJobRecord} from '../_lib/create_job_record.js';
+import {jobKey} from '../_lib/job_key.js';
+import {longestChain} from '../_lib/longest_chain.js';
 import {TargetLane} from '../_lib/target_lane.js';
 import {admitJob} from '../admit_job/admit_job.js';
 import type {Admission} from '../admit_job/admission.js';
 import {chooseTarget} from '../choose_target/choose_target.js';
-import {expectedFinish} from '../expected_finish/expected_finish.js';
+import {expectedEnds} from '../expected_ends/expected_ends.js';
+import {LoadMeter} from '../load_meter/load_meter.js';
 import {RunEstimates} from '../run_estimates/run_estimates.js';
 import type {EndReport} from '../target_port/end_report.js';
 import type {SchedulerOptions} from './scheduler_options.js';
@@ -28,6 +32,10 @@
 const STRAGGLER_SLACK_MS = 100;
 /** Time before a caller leaves at which its job is given up, in ms. */
 const ANSWER_MARGIN_MS = 20;
+/** Objectives after which an answer is of no more use to a caller. */
+const USELESS_FACTOR = 3;
+/** Time for a target to say whether a claimed task runs there, in ms. */
+const CLAIM_TIMEOUT_MS = 400;
 /** Silence of a target that is neither heard nor reported, in ms. */
 const FORGET_TARGET_MS = 10_000;
 /** Completed jobs whose outcome is kept for callers that send again. */
@@ -44,9 +52,10 @@
  */
 export class Scheduler {
   private readonly estimates = RunEstimates.create();
-  private readonly jobs = new Map<JobId, JobRecord>();
+  private readonly load = LoadMeter.create();
+  private readonly jobs = new Map<string, JobRecord>();
   private readonly lanes = new Map<TargetId, TargetLane>();
-  private readonly kept = new Map<JobId, JobOutcome>();
+  private readonly kept = new Map<string, JobOutcome>();
   /** Jobs with waiting tasks, the most urgent first. */
   private waiting: JobRecord[] = [];
   private host: LaneHost | undefined;
@@ -133,12 +142,8 @@
       this.conclude(
         record,
         record.mayHaveRun
-          ? {kind: 'failed', reason: 'schedulerLost'}
-          : {
-              kind: 'refused',
-              reason: 'notScheduler',
-              retryAfterMs: TAKEOVER_RETRY_MS,
-            },
+          ? {kind: 'handedOver', placed: placedTasks(record)}
+          : notScheduler(),
       );
     }
     this.opts.log.emit('schedulerEnded', {token: host.token});
@@ -187,41 +192,48 @@
    * @returns How it ended; a job that is here already is joined.
    */
   submit(job: ScheduledJob): Promise<JobOutcome> {
-    const present = this.jobs.get(job.id);
+    const key = jobKey(job);
+    const present = this.jobs.get(key);
     if (present) {
       return present.outcome;
     }
-    const kept = this.kept.get(job.id);
+    const kept = this.kept.get(key);
     if (kept) {
       return Promise.resolve(kept);
     }
     if (!this.host) {
-      return Promise.resolve({
-        kind: 'refused',
-        reason: 'notScheduler',
-        retryAfterMs: TAKEOVER_RETRY_MS,
-      });
+      return Promise.resolve(notScheduler());
     }
+    const nowMs = this.opts.clock.now();
     const expectedMs = job.steps.map(step =>
       this.estimates.expect(job.kind, step.estimateMs),
     );
+    const places = this.placesFor(job, nowMs);
     const record = createJobRecord(
       job,
       expectedMs,
       ++this.sequence,
-      this.opts.clock.now(),
+      places.length,
+      nowMs,
     );
-    if (job.submission > 0) {
-      this.jobs.set(job.id, record);
-      this.adopt(record);
-    } else {
-      const admission = this.admission(record);
+    this.claimOrphans(record);
+    if (!record.mayHaveRun && !job.isPromised) {
+      const admission = this.admission(record, places, nowMs);
       if (admission.kind === 'refused') {
-        return Promise.resolve(this.refuse(record, admission));
+        record.isOver = true;
+        this.note(record, admission);
+        return Promise.resolve(admission);
       }
-      this.jobs.set(job.id, record);
     }
+    const workMs = record.tasks.reduce(
+      (sum, t) => sum + expectedMs[t.step]!,
+      0,
+    );
+    this.load.add(job.priority, workMs, nowMs);
+    this.jobs.set(key, record);
     this.enqueue(record);
+    this.unblock(record);
+    this.completeIfDone(record);
     this.pump();
     return record.outcome;
   }
@@ -232,18 +244,22 @@
    * @param jobId - The job.
    */
   cancel(jobId: JobId): void {
-    const record = this.jobs.get(jobId);
-    if (record) {
-      this.fail(record, 'cancelled');
+    for (const record of [...this.jobs.values()]) {
+      if (record.job.id === jobId) {
+        this.fail(record, 'cancelled');
+      }
     }
   }
 
-  private admission(record: JobRecord): Admission {
-    const nowMs = this.opts.clock.now();
-    const places = this.placesFor(record, nowMs);
+  private admission(
+    record: JobRecord,
+    places: readonly number[],
+    nowMs: number,
+  ): Admission {
+    const {job, expectedMs} = record;
     const aheadMs: number[] = [];
     for (const other of this.waiting) {
-      if (other.job.priority <= record.job.priority) {
+      if (other.job.priority <= job.priority) {
         for (const task of other.tasks) {
           if (task.state === 'waiting') {
             aheadMs.push(other.expectedMs[task.step]!);
@@ -251,10 +267,13 @@
         }
       }
     }
-    const ownMs = record.tasks.map(task => record.expectedMs[task.step]!);
+    const ownMs = record.tasks.map(task => expectedMs[task.step]!);
+    const busy = this.load.busyAbove(job.priority, nowMs);
     return admitJob({
       places: places.length,
-      finishMs: expectedFinish(places, aheadMs, ownMs),
+      chainMs: longestChain(job.steps, expectedMs),
+      endsMs: expectedEnds(places, aheadMs, ownMs),
+      busyAbove: busy / Math.max(1, places.length),
       objectiveLeftMs: record.objectiveAtMs - nowMs,
       callerLeftMs: record.callerLeavesAtMs - nowMs,
       waitingJobs: this.waiting.length,
@@ -262,8 +281,9 @@
   }
 
   /** Time until each place for tasks of a job's first step is free. */
-  private placesFor(record: JobRecord, nowMs: number): number[] {
-    const {service, steps} = record.job;
+  private placesFor(job: ScheduledJob, nowMs: number): number[] {
+    const {service, steps} = job;
+    const tasks = steps.reduce((sum, step) => sum + step.count, 0);
     const {needs} = steps[0]!;
     const places: number[] = [];
     for (const lane of this.lanes.values()) {
@@ -276,7 +296,7 @@
         needs.memoryMb > 0
           ? Math.floor(free.memoryMb / needs.memoryMb)
           : Infinity,
-        record.tasks.length,
+        tasks,
       );
       for (let i = 0; i < count; i++) {
         places.push(0);
@@ -288,39 +308,59 @@
     return places;
   }
 
-  private refuse(
-    record: JobRecord,
-    admission: Extract<Admission, {kind: 'refused'}>,
-  ): JobOutcome {
-    const {reason, retryAfterMs} = admission;
-    const outcome: JobOutcome = {kind: 'refused', reason, retryAfterMs};
-    record.isOver = true;
-    this.note(record, outcome);
-    return outcome;
+  /** Marks tasks that run already, ordered by an earlier scheduler. */
+  private claimOrphans(record: JobRecord): void {
+    for (const lane of this.lanes.values()) {
+      if (!lane.hasOrphans) {
+        continue;
+      }
+      for (const task of record.tasks) {
+        if (task.state !== 'done' && lane.knowsOrphan(task.taskId)) {
+          task.state = 'claimed';
+          task.claimedAt = lane.report.targetId;
+          record.mayHaveRun = true;
+        }
+      }
+    }
   }
 
-  /** Finds the runs of a job that an earlier scheduler had. */
-  private adopt(record: JobRecord): void {
+  /** Takes over claimed tasks from targets that have answered. */
+  private settleClaims(record: JobRecord): void {
     for (const task of record.tasks) {
-      for (const lane of this.lanes.values()) {
-        const found = lane.adopt(task.taskId);
-        if (found?.kind === 'running') {
+      const lane =
+        task.state === 'claimed' && task.claimedAt !== undefined
+          ? this.lanes.get(task.claimedAt)
+          : undefined;
+      if (!lane?.isConfirmed) {
+        continue;
+      }
+      const found = lane.adopt(task.taskId);
+      switch (found?.kind) {
+        case 'running': {
           const run = this.makeRun(task, lane, found.run);
           run.state = 'running';
           run.confirmedMs = run.orderedMs;
+          task.nextRun = Math.max(task.nextRun, found.run + 1);
           task.state = 'placed';
           task.run = run;
           lane.attach(run);
-        } else if (found?.end.how === 'done') {
-          task.state = 'done';
+          break;
         }
+        case 'ended':
+          task.state = found.end.how === 'done' ? 'done' : 'waiting';
+          break;
+        case undefined:
+          // An order on its way there is fenced off by now.
+          task.state = 'waiting';
+          break;
+        default:
+          found satisfies never;
       }
-    }
-    const all = [...this.lanes.values()];
-    const isCertain = all.every(lane => lane.isConfirmed);
-    if (!isCertain && record.tasks.some(task => task.state === 'waiting')) {
-      // A task may still run at a target that has not answered yet.
-      this.fail(record, 'schedulerLost');
+      this.opts.log.emit('taskAdopted', {
+        taskId: task.taskId,
+        target: lane.report.targetId,
+        state: task.state,
+      });
     }
     this.completeIfDone(record);
   }
@@ -354,15 +394,14 @@
     }
     const options = this.options();
     for (const record of [...this.waiting]) {
+      this.settleClaims(record);
       for (const task of record.tasks) {
         if (task.state === 'waiting') {
           this.place(task, options);
         }
       }
     }
-    this.waiting = this.waiting.filter(record =>
-      record.tasks.some(task => task.state === 'waiting'),
-    );
+    this.waiting = this.waiting.filter(hasWaitingTask);
   }
 
   private options(): LaneOption[] {
@@ -512,10 +551,7 @@
         }
       }
     });
-    if (
-      record.tasks.some(task => task.state === 'waiting') &&
-      !this.waiting.includes(record)
-    ) {
+    if (hasWaitingTask(record) && !this.waiting.includes(record)) {
       this.enqueue(record);
     }
   }
@@ -542,6 +578,7 @@
             kind: 'refused',
             reason: reason === 'cancelled' ? 'cancelled' : 'tooLate',
             retryAfterMs: TAKEOVER_RETRY_MS,
+            offer: 0,
           }
         : {kind: 'failed', reason},
     );
@@ -552,10 +589,10 @@
       return;
     }
     record.isOver = true;
-    this.jobs.delete(record.job.id);
+    this.jobs.delete(record.key);
     this.waiting = this.waiting.filter(other => other !== record);
     if (outcome.kind === 'completed') {
-      this.kept.set(record.job.id, outcome);
+      this.kept.set(record.key, outcome);
       if (this.kept.size > MAX_KEPT_OUTCOMES) {
         this.kept.delete(this.kept.keys().next().value!);
       }
@@ -610,11 +647,21 @@
   }
 
   private checkJob(record: JobRecord, nowMs: number): void {
-    const leftMs = record.callerLeavesAtMs - nowMs;
-    if (leftMs < ANSWER_MARGIN_MS) {
+    const objectiveMs = record.objectiveAtMs - record.receivedMs;
+    const uselessAtMs = Math.min(
+      record.callerLeavesAtMs - ANSWER_MARGIN_MS,
+      record.receivedMs + USELESS_FACTOR * objectiveMs,
+    );
+    const leftMs = uselessAtMs - nowMs;
+    if (record.callerLeavesAtMs - nowMs < ANSWER_MARGIN_MS) {
       this.fail(record, 'deadline');
       return;
     }
+    const isStuck = nowMs - record.receivedMs > CLAIM_TIMEOUT_MS;
+    if (isStuck && record.tasks.some(task => task.state === 'claimed')) {
+      this.fail(record, 'schedulerLost');
+      return;
+    }
     for (const task of record.tasks) {
       if (record.isOver) {
         return;
@@ -691,6 +738,39 @@
     : a.job.priority < b.job.priority;
 }
 
+function hasWaitingTask(record: JobRecord): boolean {
+  return record.tasks.some(
+    task => task.state === 'waiting' || task.state === 'claimed',
+  );
+}
+
+/** What a scheduler that ends has ordered of a job. */
+function placedTasks(record: JobRecord): PlacedTask[] {
+  return record.tasks.flatMap(task => {
+    const targetId = task.run?.lane.report.targetId ?? task.claimedAt;
+    const isDone = task.state === 'done';
+    return isDone || targetId !== undefined
+      ? [
+          {
+            taskId: task.taskId,
+            targetId: targetId ?? ('' as TargetId),
+            run: task.nextRun - 1,
+            isDone,
+          },
+        ]
+      : [];
+  });
+}
+
+function notScheduler(): JobOutcome {
+  return {
+    kind: 'refused',
+    reason: 'notScheduler',
+    retryAfterMs: TAKEOVER_RETRY_MS,
+    offer: 0,
+  };
+}
+
 function countOf(record: JobRecord, step: number, lane: TargetLane): number {
   return record.tasks.filter(
     task => task.step === step && task.run?.lane === lane,
