Run times survive a change of the scheduler; other data centres are asked first

A new scheduler knew no run times, and learned too short ones from runs that it had adopted half way. Calls to a data centre that was cut off held jobs for a second.

Ruled out: slow targets (their ratio stayed at 1), too few places.

Change: outcomes carry run times, which each entry learns; adopted runs teach nothing; stragglers are told only by settled estimates. Another data centre is asked for an offer, which takes 40 ms at most, before a job goes there.

--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -23,6 +23,8 @@
 const SUCCESSOR_POLL_MS = 20;
 /** Longest wait for a successor of a lost scheduler, in milliseconds. */
 const MAX_SUCCESSOR_WAIT_MS = 1_200;
+/** Longest wait for another data centre's offer, in milliseconds. */
+const QUOTE_TIMEOUT_MS = 40;
 const LIST_TIMEOUT_MS = 1_000;
 /** When a caller may come back if no scheduler can be reached, in ms. */
 const NO_SCHEDULER_RETRY_MS = 1_000;
@@ -125,27 +127,27 @@
    */
   async submit(job: ScheduledJob, signal: AbortSignal): Promise<JobOutcome> {
     const startedMs = this.opts.clock.now();
-    let refusal: Refused = NO_SCHEDULER;
-    const asked: Holder[] = [];
-    const offers: number[] = [];
-    for (const holder of this.holders()) {
-      if (signal.aborted) {
-        return refusal;
-      }
-      const aged = this.aged(job, startedMs);
-      const outcome = await this.submitUntilSettled(holder, aged, signal);
+    const holders = this.holders();
+    const own = holders.filter(h => h.dataCentre === this.opts.cfg.dataCentre);
+    const others = holders.filter(h => !own.includes(h));
+    let refusal = NO_SCHEDULER;
+    for (const holder of own) {
+      const outcome = await this.submitUntilSettled(holder, job, signal);
       if (outcome.kind !== 'refused') {
         return outcome;
       }
       refusal = outcome;
-      asked.push(holder);
-      offers.push(outcome.offer);
-      const parts = splitSteps(this.aged(job, startedMs), offers);
-      if (parts) {
-        return this.submitParts(asked, parts, signal);
-      }
     }
-    return refusal;
+    const aged = this.aged(job, startedMs);
+    const quotes = others.map(holder => this.quoteOf(holder, aged));
+    const offers = [
+      ...own.map(() => refusal.offer),
+      ...(await Promise.all(quotes)),
+    ];
+    const parts = splitSteps(this.aged(job, startedMs), offers);
+    return parts && !signal.aborted
+      ? this.submitParts([...own, ...others], parts, signal)
+      : refusal;
   }
 
   /** Takes other seeds, after the settings have changed. */
@@ -177,6 +179,9 @@
     });
     const {network} = this.node;
     network.onCall('scheduleJob', (from, {job}) => this.scheduleFor(from, job));
+    network.onCall('quoteJob', (_from, {job}) =>
+      Promise.resolve({offer: this.scheduler.quote(job)}),
+    );
     network.onNotice('cancelJob', (from, {jobId}) => this.disown(jobId, from));
     network.onCall('reportTarget', (_from, {report}) =>
       Promise.resolve({accepted: this.scheduler.accept(report)}),
@@ -289,6 +294,10 @@
     try {
       const opts = {timeoutMs, signal};
       const res = await network.call(instanceId, 'scheduleJob', {job}, opts);
+      if (res.outcome.kind === 'completed') {
+        // This instance may be the next scheduler.
+        res.outcome.samples.forEach(s => this.scheduler.learn(job.kind, s));
+      }
       return res.outcome;
     } catch (err) {
       if (signal.aborted) {
@@ -316,6 +325,23 @@
     };
   }
 
+  /** Tasks that another data centre's scheduler could do in time. */
+  private async quoteOf(holder: Holder, job: ScheduledJob): Promise<number> {
+    const {network} = this.node;
+    const opts = {timeoutMs: QUOTE_TIMEOUT_MS};
+    try {
+      const to = holder.grant.instanceId;
+      return (await network.call(to, 'quoteJob', {job}, opts)).offer;
+    } catch (err) {
+      this.opts.log.emit('noQuote', {
+        jobId: job.id,
+        scheduler: holder.grant.instanceId,
+        err: (err as Error).message,
+      });
+      return 0;
+    }
+  }
+
   /** Runs the parts of a job; one that fails ends the others. */
   private async submitParts(
     holders: readonly Holder[],
@@ -352,7 +378,7 @@
     const bad = ended.filter(outcome => outcome.kind !== 'completed');
     const failed = bad.find(outcome => outcome.kind === 'failed');
     if (bad.length === 0) {
-      return {kind: 'completed'};
+      return {kind: 'completed', samples: []};
     }
     return bad.length === ended.length && !failed
       ? bad[0]!
--- a/packages/protocol/src/event_log/event_catalogue.ts
+++ b/packages/protocol/src/event_log/event_catalogue.ts
@@ -198,6 +198,11 @@
     level: 'info',
     text: 'decision: a job goes in parts to several schedulers',
   },
+  noQuote: {
+    number: 5013,
+    level: 'info',
+    text: 'another scheduler did not say in time what it could do',
+  },
   jobHandedOver: {
     number: 5010,
     level: 'info',
--- a/packages/protocol/src/messages/peer_calls.ts
+++ b/packages/protocol/src/messages/peer_calls.ts
@@ -11,6 +11,7 @@
 import type {OwnerAnswerCall} from './owner_answer_call.js';
 import type {ProposeCall} from './propose_call.js';
 import type {PullStateCall} from './pull_state_call.js';
+import type {QuoteJobCall} from './quote_job_call.js';
 import type {ReadIndexCall} from './read_index_call.js';
 import type {ReplicaStatusCall} from './replica_status_call.js';
 import type {ReleaseClaimCall} from './release_claim_call.js';
@@ -34,6 +35,7 @@
   dispatch: DispatchCall;
   job: JobCall;
   scheduleJob: ScheduleJobCall;
+  quoteJob: QuoteJobCall;
   reportTarget: ReportTargetCall;
   listTargets: ListTargetsCall;
   listInstances: ListInstancesCall;
--- a/packages/protocol/src/scheduling/job_outcome.ts
+++ b/packages/protocol/src/scheduling/job_outcome.ts
@@ -1,6 +1,7 @@
 import type {JobFailure} from './job_failure.js';
 import type {JobRefusal} from './job_refusal.js';
 import type {PlacedTask} from './placed_task.js';
+import type {RunTimeSample} from './run_time_sample.js';
 
 /**
  * How a scheduler ended a job.
@@ -9,7 +10,11 @@
  * `handedOver`: the scheduler ends and knows all that it has ordered.
  */
 export type JobOutcome =
-  | {readonly kind: 'completed'}
+  | {
+      readonly kind: 'completed';
+      /** Run times of some of its tasks, for whoever schedules next. */
+      readonly samples: readonly RunTimeSample[];
+    }
   | {readonly kind: 'failed'; readonly reason: JobFailure}
   | {readonly kind: 'handedOver'; readonly placed: readonly PlacedTask[]}
   | {
--- a/packages/scheduling/src/_lib/create_job_record.ts
+++ b/packages/scheduling/src/_lib/create_job_record.ts
@@ -44,6 +44,7 @@
     callerLeavesAtMs: nowMs + job.leftMs,
     expectedMs,
     tasks: [],
+    samples: [],
     mayHaveRun: job.placed !== undefined,
     isOver: false,
     finish,
--- a/packages/scheduling/src/_lib/job_record.ts
+++ b/packages/scheduling/src/_lib/job_record.ts
@@ -1,4 +1,8 @@
-import type {JobOutcome, ScheduledJob} from '@papayarun/protocol';
+import type {
+  JobOutcome,
+  RunTimeSample,
+  ScheduledJob,
+} from '@papayarun/protocol';
 import type {TaskRecord} from './task_record.js';
 
 /**
@@ -18,6 +22,7 @@
   /** Expected run time of a task, by step. */
   readonly expectedMs: readonly number[];
   readonly tasks: TaskRecord[];
+  readonly samples: RunTimeSample[];
   /** Whether an order to start one of its tasks may have been sent. */
   mayHaveRun: boolean;
   isOver: boolean;
--- a/packages/scheduling/src/_lib/run_record.ts
+++ b/packages/scheduling/src/_lib/run_record.ts
@@ -21,6 +21,8 @@
   readonly expectedMs: number;
   /** Lease end of the order to start, on the target's clock. */
   readonly leaseEndMs: number;
+  /** Whether an earlier scheduler ordered it, so that its start is unknown. */
+  readonly isAdopted: boolean;
   /** Whether its task was given up or moved, so that its end is no news. */
   isAbandoned: boolean;
 }
--- a/packages/scheduling/src/run_estimates/run_estimates.ts
+++ b/packages/scheduling/src/run_estimates/run_estimates.ts
@@ -5,7 +5,11 @@
 /** Variance of log run times that is assumed before anything was seen. */
 const FIRST_VARIANCE = 0.16;
 
+/** Samples after which a kind's run times are trusted; a count. */
+const SETTLED_COUNT = 20;
+
 interface KindStatistics {
+  count: number;
   /** Mean of the logarithm of run times, in log milliseconds. */
   meanLog: number;
   varianceLog: number;
@@ -58,6 +62,16 @@
     return Math.exp(weight * declaredLog + (1 - weight) * known.meanLog);
   }
 
+  /**
+   * Whether enough was seen of a kind to tell a straggler from a long task.
+   *
+   * @param kind - Kind of the job.
+   * @returns True once it was.
+   */
+  isSettled(kind: KindId): boolean {
+    return (this.kinds.get(kind)?.count ?? 0) >= SETTLED_COUNT;
+  }
+
   /**
    * Learns from a task that ended as done.
    *
@@ -71,6 +85,7 @@
     const known = this.kinds.get(kind);
     if (!known) {
       this.kinds.set(kind, {
+        count: 1,
         meanLog: ranLog,
         varianceLog: FIRST_VARIANCE,
         biasLog: bias,
@@ -78,11 +93,14 @@
       });
       return;
     }
+    known.count++;
+    // The first samples weigh as in a plain mean.
+    const rate = Math.max(LEARNING_RATE, 1 / known.count);
     const off = ranLog - known.meanLog;
-    known.meanLog += LEARNING_RATE * off;
+    known.meanLog += rate * off;
     known.varianceLog += LEARNING_RATE * (off * off - known.varianceLog);
     const biasOff = bias - known.biasLog;
-    known.biasLog += LEARNING_RATE * biasOff;
+    known.biasLog += rate * biasOff;
     known.biasVarianceLog +=
       LEARNING_RATE * (biasOff * biasOff - known.biasVarianceLog);
   }
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -2,7 +2,9 @@
   JobFailure,
   JobId,
   JobOutcome,
+  KindId,
   PlacedTask,
+  RunTimeSample,
   ScheduledJob,
   TargetId,
   TargetReport,
@@ -27,9 +29,9 @@
 /** Period of the checks for stragglers and passed deadlines, in ms. */
 const WATCH_PERIOD_MS = 40;
 /** A run is a straggler after this many times its expected time... */
-const STRAGGLER_FACTOR = 3;
+const STRAGGLER_FACTOR = 4;
 /** ...and this much more, in ms. */
-const STRAGGLER_SLACK_MS = 100;
+const STRAGGLER_SLACK_MS = 150;
 /** Time before a caller leaves at which its job is given up, in ms. */
 const ANSWER_MARGIN_MS = 20;
 /** Objectives after which an answer is of no more use to a caller. */
@@ -40,6 +42,8 @@
 const FORGET_TARGET_MS = 10_000;
 /** Completed jobs whose outcome is kept for callers that send again. */
 const MAX_KEPT_OUTCOMES = 1_024;
+/** Run times that an outcome carries at most. */
+const MAX_SAMPLES = 2;
 /** When a caller may come back while a scheduler takes over, in ms. */
 const TAKEOVER_RETRY_MS = 500;
 
@@ -205,17 +209,7 @@
       return Promise.resolve(notScheduler());
     }
     const nowMs = this.opts.clock.now();
-    const expectedMs = job.steps.map(step =>
-      this.estimates.expect(job.kind, step.estimateMs),
-    );
-    const places = this.placesFor(job, nowMs);
-    const record = createJobRecord(
-      job,
-      expectedMs,
-      ++this.sequence,
-      places.length,
-      nowMs,
-    );
+    const {record, places} = this.prepare(job, nowMs);
     this.claimOrphans(record);
     if (!record.mayHaveRun && !job.isPromised) {
       const admission = this.admission(record, places, nowMs);
@@ -226,7 +220,7 @@
       }
     }
     const workMs = record.tasks.reduce(
-      (sum, t) => sum + expectedMs[t.step]!,
+      (sum, t) => sum + record.expectedMs[t.step]!,
       0,
     );
     this.load.add(job.priority, workMs, nowMs);
@@ -238,6 +232,34 @@
     return record.outcome;
   }
 
+  /**
+   * Learns a run time, of this scheduler's tasks or another's.
+   *
+   * @param kind - Kind of the job.
+   * @param sample - What a task of it took.
+   */
+  learn(kind: KindId, sample: RunTimeSample): void {
+    this.estimates.learn(kind, sample.declaredMs, sample.ranMs);
+  }
+
+  /**
+   * How many tasks of a job could be done in time here.
+   *
+   * @param job - The job, which is not taken by this.
+   * @returns Number of its tasks; 0 without the grant.
+   */
+  quote(job: ScheduledJob): number {
+    if (!this.host) {
+      return 0;
+    }
+    const nowMs = this.opts.clock.now();
+    const {record, places} = this.prepare(job, nowMs);
+    const admission = this.admission(record, places, nowMs);
+    return admission.kind === 'admitted'
+      ? record.tasks.length
+      : admission.offer;
+  }
+
   /**
    * Gives a job up, since nobody waits for it any more.
    *
@@ -251,6 +273,22 @@
     }
   }
 
+  private prepare(
+    job: ScheduledJob,
+    nowMs: number,
+  ): {readonly record: JobRecord; readonly places: readonly number[]} {
+    const expectedMs = job.steps.map(step =>
+      this.estimates.expect(job.kind, step.estimateMs),
+    );
+    const places = this.placesFor(job, nowMs);
+    const sequence = ++this.sequence;
+    const count = places.length;
+    return {
+      record: createJobRecord(job, expectedMs, sequence, count, nowMs),
+      places,
+    };
+  }
+
   private admission(
     record: JobRecord,
     places: readonly number[],
@@ -337,7 +375,7 @@
       const found = lane.adopt(task.taskId);
       switch (found?.kind) {
         case 'running': {
-          const run = this.makeRun(task, lane, found.run);
+          const run = this.makeRun(task, lane, found.run, true);
           run.state = 'running';
           run.confirmedMs = run.orderedMs;
           task.nextRun = Math.max(task.nextRun, found.run + 1);
@@ -438,7 +476,7 @@
       return;
     }
     const {lane} = chosen;
-    const run = this.makeRun(task, lane, task.nextRun++);
+    const run = this.makeRun(task, lane, task.nextRun++, false);
     task.state = 'placed';
     task.run = run;
     task.job.mayHaveRun = true;
@@ -456,7 +494,12 @@
     }
   }
 
-  private makeRun(task: TaskRecord, lane: TargetLane, run: number): RunRecord {
+  private makeRun(
+    task: TaskRecord,
+    lane: TargetLane,
+    run: number,
+    isAdopted: boolean,
+  ): RunRecord {
     return {
       task,
       run,
@@ -467,6 +510,7 @@
       confirmedMs: undefined,
       expectedMs: task.job.expectedMs[task.step]! * lane.slowness,
       leaseEndMs: lane.leaseEnd(),
+      isAdopted,
       isAbandoned: false,
     };
   }
@@ -475,11 +519,14 @@
     const {task} = run;
     const {lane} = run;
     const ranMs = this.opts.clock.now() - (run.confirmedMs ?? run.orderedMs);
-    if (how === 'done' && !run.isAbandoned) {
-      const {job, expectedMs} = task.job;
-      const {estimateMs} = job.steps[task.step]!;
-      const {slowness} = lane;
-      this.estimates.learn(job.kind, estimateMs, ranMs / slowness);
+    if (how === 'done' && !run.isAbandoned && !run.isAdopted) {
+      const {job, expectedMs, samples} = task.job;
+      const declaredMs = job.steps[task.step]!.estimateMs;
+      const sample = {declaredMs, ranMs: ranMs / lane.slowness};
+      this.learn(job.kind, sample);
+      if (samples.length < MAX_SAMPLES) {
+        samples.push(sample);
+      }
       lane.learn('succeeded', ranMs / Math.max(1, expectedMs[task.step]!));
     } else if (how === 'failed') {
       lane.learn('failed');
@@ -558,7 +605,8 @@
 
   private completeIfDone(record: JobRecord): void {
     if (record.tasks.every(task => task.state === 'done')) {
-      this.conclude(record, {kind: 'completed'});
+      const {samples} = record;
+      this.conclude(record, {kind: 'completed', samples});
     }
   }
 
@@ -692,6 +740,7 @@
     const ranMs = nowMs - run.orderedMs;
     const isStraggler =
       run.state === 'running' &&
+      this.estimates.isSettled(task.job.job.kind) &&
       ranMs > STRAGGLER_FACTOR * freshMs + STRAGGLER_SLACK_MS;
     if (isStraggler && freshMs < leftMs) {
       lane.learn('failed', ranMs / freshMs);
