--- /dev/null
+++ b/packages/daemon/src/bounded_output/bounded_output.test.ts
@@ -0,0 +1,27 @@
+import {mkdtemp, open, readFile, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {describe, expect, it} from 'vitest';
+import {BoundedOutput} from './bounded_output.js';
+
+const SETTLE_MS = 200;
+
+describe('BoundedOutput', () => {
+  it('drops and counts what is over the bound of a second', async () => {
+    const folder = await mkdtemp(join(tmpdir(), 'papayarun-'));
+    const path = join(folder, 'out');
+    const handle = await open(path, 'w');
+    const out = BoundedOutput.create(handle.fd, n => `dropped ${n}\n`);
+    for (let i = 0; i < 1_500; i++) {
+      out.write(`${i}\n`);
+    }
+    await new Promise(resolve => setTimeout(resolve, 1_000 + SETTLE_MS));
+    out.write('later\n');
+    await new Promise(resolve => setTimeout(resolve, SETTLE_MS));
+    const lines = (await readFile(path, 'utf8')).trim().split('\n');
+    expect(lines).toHaveLength(1_002);
+    expect(lines.slice(-2)).toEqual(['dropped 500', 'later']);
+    await handle.close();
+    await rm(folder, {recursive: true});
+  });
+});
--- /dev/null
+++ b/packages/scheduling/src/expected_ends/expected_ends.test.ts
@@ -0,0 +1,31 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {expectedEnds} from './expected_ends.js';
+
+describe('expectedEnds', () => {
+  it('uses the earliest free place for each task', () => {
+    expect(expectedEnds([0, 40], [], [60, 60])).toEqual([60, 100]);
+    expect(expectedEnds([0, 40], [60], [60])).toEqual([100]);
+  });
+
+  it('is infinite without places', () => {
+    expect(expectedEnds([], [], [1])).toEqual([Infinity]);
+  });
+
+  it('equals a plain simulation', () => {
+    const times = fc.array(fc.nat(1_000), {maxLength: 12});
+    const places = fc.array(fc.nat(1_000), {minLength: 1, maxLength: 12});
+    fc.assert(
+      fc.property(places, times, times, (free, ahead, own) => {
+        const busy = [...free];
+        const run = (ms: number): number => {
+          const at = busy.indexOf(Math.min(...busy));
+          busy[at] = busy[at]! + ms;
+          return busy[at];
+        };
+        ahead.forEach(run);
+        expect(expectedEnds(free, ahead, own)).toEqual(own.map(run));
+      }),
+    );
+  });
+});
--- /dev/null
+++ b/packages/scheduling/src/scheduler/scheduler.test.ts
@@ -0,0 +1,366 @@
+import type {
+  DataCentreId,
+  JobId,
+  JobOutcome,
+  KindId,
+  ScheduledJob,
+  ServiceId,
+  TargetId,
+  TargetReport,
+  TaskId,
+} from '@papayarun/protocol';
+import {SeededRandom} from '@papayarun/protocol';
+import {EmulatedTarget, SilentLog, VirtualClock} from '@papayarun/test_kit';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import type {HoldOrder} from '../target_port/hold_order.js';
+import type {HoldResult} from '../target_port/hold_result.js';
+import type {OrderResult} from '../target_port/order_result.js';
+import type {StartOrder} from '../target_port/start_order.js';
+import type {StopOrder} from '../target_port/stop_order.js';
+import type {TargetEndpoint} from '../target_port/target_endpoint.js';
+import type {TargetPort} from '../target_port/target_port.js';
+import {Scheduler} from './scheduler.js';
+
+const CORES = 32;
+const NEEDS = {cores: 14, memoryMb: 64, accelerators: 0};
+const MAX_LEASE_MS = 1_000;
+const STOP_MS = 50;
+const ORDER_TIMEOUT_MS = 100;
+const HOLD_ANSWER_MS = 300;
+const SECOND_MS = 1_000;
+/** More runs and other seeds for a long search apart from CI. */
+const RUNS = Number(process.env['PAPAYARUN_RUNS'] ?? 60);
+const SEED = Number(process.env['PAPAYARUN_SEED'] ?? 3);
+
+/** Faults of the way to the targets, as shares of the orders. */
+interface Faults {
+  lostAnswers: number;
+  /** Orders that get no answer and are carried out seconds later. */
+  lateOrders: number;
+  readonly cut: Set<TargetId>;
+}
+
+/** Targets over a virtual clock, with a port that loses and delays. */
+class Bench {
+  readonly clock = VirtualClock.create();
+  readonly log = SilentLog.create();
+  readonly targets = new Map<TargetId, EmulatedTarget>();
+  readonly faults: Faults = {lostAnswers: 0, lateOrders: 0, cut: new Set()};
+  readonly twice: string[] = [];
+  private readonly random;
+  private made = 0;
+
+  constructor(
+    seed: number,
+    readonly runMs = 60,
+  ) {
+    this.random = SeededRandom.create(seed);
+  }
+
+  addTarget(): TargetReport {
+    const targetId = `t${++this.made}` as TargetId;
+    const target = EmulatedTarget.create(
+      this.clock,
+      this.random,
+      CORES,
+      MAX_LEASE_MS,
+      () => this.runMs,
+    );
+    this.targets.set(targetId, target);
+    return reportOf(targetId);
+  }
+
+  scheduler(): Scheduler {
+    return Scheduler.create({
+      port: this.port(),
+      clock: this.clock,
+      log: this.log,
+      timing: {
+        maxLeaseMs: MAX_LEASE_MS,
+        stopMs: STOP_MS,
+        orderTimeoutMs: ORDER_TIMEOUT_MS,
+      },
+      onFenced: () => undefined,
+      onOutcome: () => undefined,
+    });
+  }
+
+  startsOf(jobId: JobId): number {
+    let count = 0;
+    for (const target of this.targets.values()) {
+      count += target.starts.filter(s => s.taskId.startsWith(jobId)).length;
+    }
+    return count;
+  }
+
+  private port(): TargetPort {
+    return {
+      start: (to, order) => this.order(to, t => this.start(t, order)),
+      stop: (to, order) => this.order(to, t => stop(t, order)),
+      hold: (to, order) => this.hold(to, order),
+      release: () => undefined,
+    };
+  }
+
+  private start(target: EmulatedTarget, order: StartOrder): OrderResult {
+    const {taskId, run, token, leaseEndMs} = order;
+    const before = target.starts.length;
+    const res = target.start(taskId, run, NEEDS.cores, token, leaseEndMs);
+    if (target.starts.length > before) {
+      this.checkTwice(taskId, target);
+    }
+    return res;
+  }
+
+  private checkTwice(taskId: TaskId, started: EmulatedTarget): void {
+    for (const target of this.targets.values()) {
+      if (target !== started && target.isRunning(taskId)) {
+        this.twice.push(taskId);
+      }
+    }
+  }
+
+  private async order(
+    to: TargetEndpoint,
+    carryOut: (target: EmulatedTarget) => OrderResult,
+  ): Promise<OrderResult> {
+    const target = this.targets.get(to.targetId)!;
+    if (this.faults.cut.has(to.targetId)) {
+      await this.clock.sleep(ORDER_TIMEOUT_MS);
+      return {kind: 'unknown', reason: 'cut'};
+    }
+    if (this.random.next() < this.faults.lateOrders) {
+      const lateMs = (2 + 3 * this.random.next()) * SECOND_MS;
+      void this.clock.sleep(lateMs).then(() => carryOut(target));
+      await this.clock.sleep(ORDER_TIMEOUT_MS);
+      return {kind: 'unknown', reason: 'late'};
+    }
+    await this.clock.sleep(this.random.next());
+    const res = carryOut(target);
+    if (this.random.next() < this.faults.lostAnswers) {
+      await this.clock.sleep(ORDER_TIMEOUT_MS);
+      return {kind: 'unknown', reason: 'answer lost'};
+    }
+    await this.clock.sleep(this.random.next());
+    return res;
+  }
+
+  private async hold(
+    to: TargetEndpoint,
+    order: HoldOrder,
+  ): Promise<HoldResult> {
+    const target = this.targets.get(to.targetId)!;
+    const endMs = this.clock.now() + order.waitMs;
+    await this.clock.sleep(1);
+    target.hold(order.token, order.seenEnd, order.leaseEndMs);
+    while (
+      this.clock.now() < endMs &&
+      !target.hasEndAfter(order.seenEnd) &&
+      !this.faults.cut.has(to.targetId)
+    ) {
+      await this.clock.sleep(2);
+    }
+    if (this.faults.cut.has(to.targetId)) {
+      await this.clock.sleep(HOLD_ANSWER_MS);
+      return {kind: 'unknown', reason: 'cut'};
+    }
+    const res = target.hold(order.token, order.seenEnd, order.leaseEndMs);
+    return res
+      ? {kind: 'held', ...res}
+      : {kind: 'rejected', reason: 'fenced', clockMs: undefined};
+  }
+}
+
+function stop(target: EmulatedTarget, order: StopOrder): OrderResult {
+  return target.stop(order.taskId, order.run, order.token);
+}
+
+function reportOf(targetId: TargetId): TargetReport {
+  return {
+    targetId,
+    bornMs: 1,
+    sequence: 1,
+    state: 'ready',
+    service: 'falhas' as ServiceId,
+    dataCentre: 'centro' as DataCentreId,
+    host: '127.0.0.1',
+    port: 1,
+    capacity: {cores: CORES, memoryMb: 1_024, accelerators: 0},
+    labels: [],
+  };
+}
+
+function jobOf(n: number, over: Partial<ScheduledJob> = {}): ScheduledJob {
+  return {
+    id: n.toString(16).padStart(16, '0') as JobId,
+    kind: 'relato' as KindId,
+    service: 'falhas' as ServiceId,
+    spec: '',
+    steps: [
+      {
+        count: 4,
+        firstIndex: 0,
+        needs: NEEDS,
+        estimateMs: 60,
+        after: [],
+      },
+    ],
+    priority: 0,
+    maxAttempts: 4,
+    stretch: 1.6,
+    slackMs: 60,
+    ageMs: 0,
+    leftMs: 3_000,
+    isPromised: false,
+    ...over,
+  };
+}
+
+async function settled(
+  clock: VirtualClock,
+  outcome: Promise<JobOutcome>,
+  maxMs: number,
+): Promise<JobOutcome> {
+  let result: JobOutcome | undefined;
+  void outcome.then(o => (result = o));
+  for (let i = 0; i < maxMs && !result; i += 5) {
+    await clock.advance(5);
+  }
+  return result!;
+}
+
+async function began(bench: Bench, targets: number): Promise<Scheduler> {
+  const scheduler = bench.scheduler();
+  scheduler.begin(1);
+  for (let i = 0; i < targets; i++) {
+    scheduler.accept(bench.addTarget());
+  }
+  await bench.clock.advance(20);
+  return scheduler;
+}
+
+describe('Scheduler', () => {
+  it('runs a job on several targets and says that it is complete', async () => {
+    const bench = new Bench(1);
+    const scheduler = await began(bench, 2);
+    const outcome = scheduler.submit(jobOf(1));
+    expect((await settled(bench.clock, outcome, 1_000)).kind).toBe('completed');
+    expect(bench.startsOf(jobOf(1).id)).toBe(4);
+  });
+
+  it('refuses at once, truthfully, what can not be done in time', async () => {
+    const bench = new Bench(2, 900);
+    const scheduler = await began(bench, 1);
+    const long = {steps: [{...jobOf(0).steps[0]!, estimateMs: 900}]};
+    void scheduler.submit(jobOf(1, long));
+    const startedMs = bench.clock.now();
+    const outcome = await settled(
+      bench.clock,
+      scheduler.submit(jobOf(2)),
+      1_000,
+    );
+    expect(outcome.kind).toBe('refused');
+    expect(bench.clock.now() - startedMs).toBeLessThanOrEqual(5);
+    await bench.clock.advance(20_000);
+    expect(bench.startsOf(jobOf(2).id)).toBe(0);
+  });
+
+  it('tries a failed task again, up to the attempts of its queue', async () => {
+    const bench = new Bench(3);
+    const scheduler = await began(bench, 3);
+    for (const target of bench.targets.values()) {
+      target.failRate = 1;
+    }
+    const job = jobOf(1, {maxAttempts: 2});
+    const outcome = await settled(bench.clock, scheduler.submit(job), 3_000);
+    expect(outcome).toEqual({kind: 'failed', reason: 'taskFailed'});
+  });
+
+  it('sends nothing to a target that leaves', async () => {
+    const bench = new Bench(4);
+    const scheduler = await began(bench, 2);
+    scheduler.accept({
+      ...reportOf('t1' as TargetId),
+      sequence: 2,
+      state: 'draining',
+    });
+    await settled(bench.clock, scheduler.submit(jobOf(1)), 1_000);
+    expect(bench.targets.get('t1' as TargetId)!.starts).toHaveLength(0);
+  });
+
+  it('hands over what it has ordered, and the next one starts nothing twice', async () => {
+    const bench = new Bench(5, 400);
+    const first = await began(bench, 3);
+    const long = {steps: [{...jobOf(0).steps[0]!, estimateMs: 400}]};
+    const before = first.submit(jobOf(1, long));
+    await bench.clock.advance(50);
+    const second = bench.scheduler();
+    second.begin(2);
+    first.end();
+    const handedOver = await settled(bench.clock, before, 100);
+    expect(handedOver.kind).toBe('handedOver');
+    const placed = handedOver.kind === 'handedOver' ? handedOver.placed : [];
+    // The job comes before the targets are known here.
+    const outcome = second.submit(jobOf(1, {...long, placed}));
+    for (const id of bench.targets.keys()) {
+      second.accept(reportOf(id));
+    }
+    expect((await settled(bench.clock, outcome, 2_000)).kind).toBe('completed');
+    expect(bench.twice).toEqual([]);
+    expect(bench.startsOf(jobOf(1).id)).toBe(4);
+  });
+
+  it('ends under a lower token once a target has seen a higher one', async () => {
+    const bench = new Bench(6);
+    const first = await began(bench, 1);
+    const second = bench.scheduler();
+    second.begin(2);
+    second.accept(reportOf('t1' as TargetId));
+    await bench.clock.advance(50);
+    const outcome = await settled(bench.clock, first.submit(jobOf(1)), 1_000);
+    expect(outcome.kind).toBe('handedOver');
+    expect(first.token).toBeUndefined();
+    expect(bench.startsOf(jobOf(1).id)).toBe(0);
+  });
+
+  it('never runs a task twice at once, nor one of a refused job, whatever orders are lost or late', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.integer(),
+        fc.double({min: 0, max: 0.3, noNaN: true}),
+        fc.double({min: 0, max: 0.3, noNaN: true}),
+        fc.array(fc.nat(2), {maxLength: 4}),
+        async (seed, lostAnswers, lateOrders, cuts) => {
+          const bench = new Bench(seed, 300);
+          const scheduler = await began(bench, 4);
+          const steps = [{...jobOf(0).steps[0]!, estimateMs: 300, count: 2}];
+          Object.assign(bench.faults, {lostAnswers, lateOrders});
+          const refused: JobId[] = [];
+          for (let n = 1; n <= 12; n++) {
+            const cut = `t${cuts[n % 5]}` as TargetId;
+            if (n % 2 === 0) {
+              bench.faults.cut.add(cut);
+            } else {
+              bench.faults.cut.clear();
+            }
+            void scheduler.submit(jobOf(n, {steps})).then(outcome => {
+              if (outcome.kind === 'refused') {
+                refused.push(jobOf(n).id);
+              }
+            });
+            await bench.clock.advance(120);
+          }
+          bench.faults.cut.clear();
+          await bench.clock.advance(12_000);
+          scheduler.end();
+          expect(bench.twice).toEqual([]);
+          expect(refused.map(id => bench.startsOf(id))).toEqual(
+            refused.map(() => 0),
+          );
+        },
+      ),
+      {numRuns: RUNS, seed: SEED, endOnFailure: true},
+    );
+  });
+});
--- /dev/null
+++ b/packages/scheduling/src/target_clock/target_clock.test.ts
@@ -0,0 +1,24 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {TargetClock} from './target_clock.js';
+
+describe('TargetClock', () => {
+  it('never takes a lease for lapsed that a slow clock still grants', () => {
+    fc.assert(
+      fc.property(
+        fc.double({min: 0.98, max: 1, noNaN: true}),
+        fc.integer({min: 0, max: 100_000}),
+        fc.integer({min: 1, max: 2_000}),
+        fc.integer({min: 0, max: 5_000}),
+        (rate, offset, leaseMs, laterMs) => {
+          const clock = TargetClock.create();
+          const shows = (nowMs: number): number => offset + rate * nowMs;
+          clock.read(shows(0), 0);
+          const leaseEndMs = shows(laterMs) + leaseMs;
+          const lapsedMs = clock.certainlyReached(leaseEndMs);
+          expect(shows(lapsedMs)).toBeGreaterThanOrEqual(leaseEndMs - 1e-6);
+        },
+      ),
+    );
+  });
+});
--- a/packages/test_kit/src/index.ts
+++ b/packages/test_kit/src/index.ts
@@ -1,3 +1,4 @@
+export * from './emulated_target/emulated_target.js';
 export * from './gate/gate.js';
 export * from './gated_clock/gated_clock.js';
 export * from './memory_disk/memory_disk.js';
