--- a/packages/test_kit/src/emulated_target/emulated_target.ts
+++ b/packages/test_kit/src/emulated_target/emulated_target.ts
@@ -1,4 +1,6 @@
 import type {Clock, RandomSource, TaskId} from '@papayarun/protocol';
+import type {EmulatedAnswer} from './emulated_answer.js';
+import type {EmulatedEnd} from './emulated_end.js';
 
 /**
  * A run on an emulated target.
@@ -9,20 +11,6 @@
   readonly cores: number;
 }
 
-/**
- * What an emulated target answers.
- */
-export type EmulatedAnswer =
-  | {readonly kind: 'accepted'; readonly clockMs: number}
-  | {
-      readonly kind: 'rejected';
-      readonly reason: 'fenced' | 'superseded' | 'expired' | 'noRoom';
-      readonly clockMs: number;
-    };
-
-/** How a run ended there. */
-type HowEnded = 'done' | 'failed' | 'stopped' | 'lapsed';
-
 /**
  * Target that runs tasks under a lease and a fencing token.
  *
@@ -38,12 +26,7 @@
   failRate = 0;
   /** Factor on run times. */
   slowness = 1;
-  private readonly ends: Array<{
-    readonly number: number;
-    readonly taskId: TaskId;
-    readonly run: number;
-    readonly how: HowEnded;
-  }> = [];
+  private readonly ends: EmulatedEnd[] = [];
   private readonly highestRun = new Map<TaskId, number>();
   private highestToken = 0;
   private leaseEndMs = 0;
@@ -145,7 +128,7 @@
           readonly taskId: TaskId;
           readonly run: number;
         }>;
-        readonly ended: EmulatedTarget['ends'];
+        readonly ended: readonly EmulatedEnd[];
       }
     | undefined {
     this.settle();
@@ -194,7 +177,7 @@
     }
   }
 
-  private end(taskId: TaskId, how: HowEnded): void {
+  private end(taskId: TaskId, how: EmulatedEnd['how']): void {
     const {run} = this.runs.get(taskId)!;
     this.runs.delete(taskId);
     const highest = Math.max(run, this.highestRun.get(taskId) ?? 0);
--- a/packages/test_kit/src/index.ts
+++ b/packages/test_kit/src/index.ts
@@ -1,3 +1,5 @@
+export * from './emulated_target/emulated_answer.js';
+export * from './emulated_target/emulated_end.js';
 export * from './emulated_target/emulated_target.js';
 export * from './gate/gate.js';
 export * from './gated_clock/gated_clock.js';
