--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -4,6 +4,7 @@
   InstanceId,
   JobId,
   JobOutcome,
+  JobRefusal,
   KnownInstance,
   ScheduledJob,
 } from '@papayarun/protocol';
@@ -23,6 +24,10 @@
 const SUCCESSOR_POLL_MS = 20;
 /** Longest wait for a successor of a lost scheduler, in milliseconds. */
 const MAX_SUCCESSOR_WAIT_MS = 1_200;
+/** Time for a scheduler that was granted to ask its targets, in ms. */
+const TAKEOVER_MS = 500;
+/** Longest wait of a new job for such a scheduler, in milliseconds. */
+const TAKEOVER_WAIT_MS = 250;
 /** Longest wait for another data centre's offer, in milliseconds. */
 const QUOTE_TIMEOUT_MS = 40;
 const LIST_TIMEOUT_MS = 1_000;
@@ -52,6 +57,9 @@
   private queues: QueueTable | undefined;
   private revision: number | undefined;
   private fencedToken = 0;
+  /** Monotonic time at which this data centre's grant last changed. */
+  private grantChangedMs = -Infinity;
+  private grantToken = 0;
 
   private constructor(private readonly opts: EntryInstanceOptions) {
     const {metrics} = opts;
@@ -127,26 +135,40 @@
    */
   async submit(job: ScheduledJob, signal: AbortSignal): Promise<JobOutcome> {
     const startedMs = this.opts.clock.now();
-    const holders = this.holders();
-    const own = holders.filter(h => h.dataCentre === this.opts.cfg.dataCentre);
-    const others = holders.filter(h => !own.includes(h));
+    let holders = this.holders();
     let refusal = NO_SCHEDULER;
-    for (const holder of own) {
-      const outcome = await this.submitUntilSettled(holder, job, signal);
-      if (outcome.kind !== 'refused') {
-        return outcome;
+    for (;;) {
+      const own = this.ownOf(holders);
+      if (own) {
+        const aged = this.aged(job, startedMs);
+        const outcome = await this.submitUntilSettled(own, aged, signal);
+        if (outcome.kind !== 'refused') {
+          return outcome;
+        }
+        refusal = outcome;
+        if (outcome.reason === 'notScheduler') {
+          // It knows of a change that has not come here yet.
+          this.grantChangedMs = this.opts.clock.now();
+        }
       }
-      refusal = outcome;
+      const waitedMs = this.opts.clock.now() - startedMs;
+      if (!this.isTakeover(refusal.reason) || waitedMs > TAKEOVER_WAIT_MS) {
+        break;
+      }
+      await this.opts.clock.sleep(SUCCESSOR_POLL_MS, signal);
+      holders = this.holders();
     }
+    const own = this.ownOf(holders);
+    const others = holders.filter(holder => holder !== own);
     const aged = this.aged(job, startedMs);
     const quotes = others.map(holder => this.quoteOf(holder, aged));
     const offers = [
-      ...own.map(() => refusal.offer),
+      ...(own ? [refusal.offer] : []),
       ...(await Promise.all(quotes)),
     ];
     const parts = splitSteps(this.aged(job, startedMs), offers);
     return parts && !signal.aborted
-      ? this.submitParts([...own, ...others], parts, signal)
+      ? this.submitParts(own ? [own, ...others] : others, parts, signal)
       : refusal;
   }
 
@@ -221,6 +243,10 @@
   private followGrant(state: ControlState): void {
     const {cfg} = this.opts;
     const grant = state.schedulers[cfg.dataCentre];
+    if (grant && grant.token !== this.grantToken) {
+      this.grantToken = grant.token;
+      this.grantChangedMs = this.opts.clock.now();
+    }
     const isMine =
       grant?.instanceId === cfg.instanceId &&
       grant.boot === this.node.membership.boot &&
@@ -315,6 +341,20 @@
     }
   }
 
+  private ownOf(holders: readonly Holder[]): Holder | undefined {
+    const {dataCentre} = this.opts.cfg;
+    return holders.find(holder => holder.dataCentre === dataCentre);
+  }
+
+  /** Whether a refusal comes of a scheduler that takes over just now. */
+  private isTakeover(reason: JobRefusal): boolean {
+    const sinceMs = this.opts.clock.now() - this.grantChangedMs;
+    return (
+      sinceMs < TAKEOVER_MS &&
+      (reason === 'notScheduler' || reason === 'noTargets')
+    );
+  }
+
   /** A job as it is now, after time has passed here. */
   private aged(job: ScheduledJob, sinceMs: number): ScheduledJob {
     const spentMs = this.opts.clock.now() - sinceMs;
--- a/packages/scheduling/src/scheduler/scheduler.test.ts
+++ b/packages/scheduling/src/scheduler/scheduler.test.ts
@@ -79,7 +79,6 @@
       timing: {
         maxLeaseMs: MAX_LEASE_MS,
         stopMs: STOP_MS,
-        orderTimeoutMs: ORDER_TIMEOUT_MS,
       },
       onFenced: () => undefined,
       onOutcome: () => undefined,
--- a/packages/scheduling/src/scheduler/scheduler_timing.ts
+++ b/packages/scheduling/src/scheduler/scheduler_timing.ts
@@ -6,6 +6,4 @@
   readonly maxLeaseMs: number;
   /** Longest time that a target takes to stop a run. */
   readonly stopMs: number;
-  /** Time for an answer to an order to start or stop. */
-  readonly orderTimeoutMs: number;
 }
