--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -16,8 +16,6 @@
 export * from './pool/pool_options.js';
 export * from './pool/slot.js';
 export * from './rate_meter/rate_meter.js';
-export * from './resources/add_resources.js';
-export * from './resources/fits_in.js';
 export * from './resources/free_resources.js';
 export * from './retry_budget/retry_budget.js';
 export * from './router/router.js';
--- a/packages/dispatch/src/job_runner/job_runner.ts
+++ b/packages/dispatch/src/job_runner/job_runner.ts
@@ -8,8 +8,7 @@
   TaskId,
   Work,
 } from '@papayarun/protocol';
-import {DispatchError} from '@papayarun/protocol';
-import {fitsIn} from '../resources/fits_in.js';
+import {DispatchError, fitsIn} from '@papayarun/protocol';
 import type {JobProgress} from './job_progress.js';
 import type {JobRunnerOptions} from './job_runner_options.js';
 
--- a/packages/dispatch/src/placement/placement.ts
+++ b/packages/dispatch/src/placement/placement.ts
@@ -1,8 +1,7 @@
 import type {Work} from '@papayarun/protocol';
+import {addResources, fitsIn} from '@papayarun/protocol';
 import {addTo} from '../_lib/add_to.js';
 import type {QueueEntry} from '../fair_queue/queue_entry.js';
-import {addResources} from '../resources/add_resources.js';
-import {fitsIn} from '../resources/fits_in.js';
 import {freeResources} from '../resources/free_resources.js';
 import type {TargetRecord} from '../target_registry/target_record.js';
 
--- a/packages/dispatch/src/pool/pool.ts
+++ b/packages/dispatch/src/pool/pool.ts
@@ -6,11 +6,10 @@
   TargetId,
   Work,
 } from '@papayarun/protocol';
-import {DispatchError} from '@papayarun/protocol';
+import {DispatchError, fitsIn} from '@papayarun/protocol';
 import PQueue from 'p-queue';
 import {FairQueue} from '../fair_queue/fair_queue.js';
 import type {QueueEntry} from '../fair_queue/queue_entry.js';
-import {fitsIn} from '../resources/fits_in.js';
 import {addTo} from '../_lib/add_to.js';
 import {Placement} from '../placement/placement.js';
 import {RateMeter} from '../rate_meter/rate_meter.js';
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -71,6 +71,8 @@
 export * from './request_key/format_request_key_prefix.js';
 export * from './request_key/parse_request_key.js';
 export * from './request_key/request_key.js';
+export * from './resources/add_resources.js';
+export * from './resources/fits_in.js';
 export * from './scheduling/job_failure.js';
 export * from './scheduling/job_outcome.js';
 export * from './scheduling/job_refusal.js';
--- a/packages/dispatch/src/resources/fits_in.ts
+++ b/packages/protocol/src/resources/fits_in.ts
@@ -1,4 +1,4 @@
-import type {Resources} from '@papayarun/protocol';
+import type {Resources} from '../work/resources.js';
 
 /**
  * Whether needs fit into what is free.
--- /dev/null
+++ b/packages/scheduling/src/_lib/placed_tasks.ts
@@ -0,0 +1,28 @@
+import type {PlacedTask, TargetId} from '@papayarun/protocol';
+import type {JobRecord} from './job_record.js';
+
+/**
+ * What a scheduler that ends has ordered of a job.
+ *
+ * @param record - The job.
+ * @returns Its tasks that are done, or may be at a target.
+ * @throws Never.
+ * @example
+ * placedTasks(record);
+ */
+export function placedTasks(record: JobRecord): PlacedTask[] {
+  return record.tasks.flatMap(task => {
+    const targetId = task.run?.lane.report.targetId ?? task.claimedAt;
+    const isDone = task.state === 'done';
+    return isDone || targetId !== undefined
+      ? [
+          {
+            taskId: task.taskId,
+            targetId: targetId ?? ('' as TargetId),
+            run: task.nextRun - 1,
+            isDone,
+          },
+        ]
+      : [];
+  });
+}
--- a/packages/scheduling/src/_lib/target_lane.ts
+++ b/packages/scheduling/src/_lib/target_lane.ts
@@ -1,4 +1,5 @@
 import type {Resources, TargetReport, TaskId} from '@papayarun/protocol';
+import {addResources} from '@papayarun/protocol';
 import type {EndReport} from '../target_port/end_report.js';
 import type {HoldResult} from '../target_port/hold_result.js';
 import type {OrderRejection} from '../target_port/order_rejection.js';
@@ -101,13 +102,14 @@
   /** What is free, by the runs that were ordered and not listed as ended. */
   free(): Resources {
     const {capacity} = this.report;
-    const free = {...capacity};
+    if (this.isFull) {
+      return {cores: 0, memoryMb: 0, accelerators: 0};
+    }
+    let free = capacity;
     for (const {needs} of this.runs.values()) {
-      free.cores -= needs.cores;
-      free.memoryMb -= needs.memoryMb;
-      free.accelerators -= needs.accelerators;
+      free = addResources(free, needs, -1);
     }
-    return this.isFull ? {cores: 0, memoryMb: 0, accelerators: 0} : free;
+    return free;
   }
 
   /** Time by which a run that can't be asked about has certainly ended. */
@@ -118,7 +120,7 @@
   /** Takes a newer report of the same incarnation. */
   update(report: TargetReport): void {
     this.heardMs = this.host.clock.now();
-    if (report.sequence > this.report.sequence) {
+    if (report.sequence >= this.report.sequence) {
       this.report = report;
     }
   }
--- a/packages/scheduling/src/choose_target/choose_target.ts
+++ b/packages/scheduling/src/choose_target/choose_target.ts
@@ -1,4 +1,5 @@
 import type {Resources} from '@papayarun/protocol';
+import {fitsIn} from '@papayarun/protocol';
 import type {TargetOption} from './target_option.js';
 
 /** Slowness in steps of a quarter counts as equal. */
@@ -24,10 +25,7 @@
   let best: T | undefined;
   for (const option of options) {
     const isUsable =
-      needs.cores <= option.free.cores &&
-      needs.memoryMb <= option.free.memoryMb &&
-      needs.accelerators <= option.free.accelerators &&
-      !(option.isSuspect && option.runs > 0);
+      fitsIn(needs, option.free) && !(option.isSuspect && option.runs > 0);
     if (isUsable && (!best || isBetter(option, best))) {
       best = option;
     }
--- a/packages/scheduling/src/scheduler/scheduler.test.ts
+++ b/packages/scheduling/src/scheduler/scheduler.test.ts
@@ -288,6 +288,14 @@
     expect(bench.targets.get('t1' as TargetId)!.starts).toHaveLength(0);
   });
 
+  it('lets go of a target that has gone', async () => {
+    const bench = new Bench(7);
+    const scheduler = await began(bench, 2);
+    scheduler.accept({...reportOf('t1' as TargetId), state: 'gone'});
+    await bench.clock.advance(100);
+    expect(scheduler.targets).toBe(1);
+  });
+
   it('hands over what it has ordered, and the next one starts nothing twice', async () => {
     const bench = new Bench(5, 400);
     const first = await began(bench, 3);
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -3,7 +3,6 @@
   JobId,
   JobOutcome,
   KindId,
-  PlacedTask,
   RunTimeSample,
   ScheduledJob,
   TargetId,
@@ -14,8 +13,12 @@
 import type {RunRecord} from '../_lib/run_record.js';
 import type {TaskRecord} from '../_lib/task_record.js';
 import {createJobRecord} from '../_lib/create_job_record.js';
+import {hasWaitingTask} from '../_lib/has_waiting_task.js';
+import {isBefore} from '../_lib/is_before.js';
 import {jobKey} from '../_lib/job_key.js';
 import {longestChain} from '../_lib/longest_chain.js';
+import {placedTasks} from '../_lib/placed_tasks.js';
+import {placesFor} from '../_lib/places_for.js';
 import {TargetLane} from '../_lib/target_lane.js';
 import {admitJob} from '../admit_job/admit_job.js';
 import type {Admission} from '../admit_job/admission.js';
@@ -280,7 +283,7 @@
     const expectedMs = job.steps.map(step =>
       this.estimates.expect(job.kind, step.estimateMs),
     );
-    const places = this.placesFor(job, nowMs);
+    const places = placesFor(job, this.lanes.values(), nowMs);
     const sequence = ++this.sequence;
     const count = places.length;
     return {
@@ -318,34 +321,6 @@
     });
   }
 
-  /** Time until each place for tasks of a job's first step is free. */
-  private placesFor(job: ScheduledJob, nowMs: number): number[] {
-    const {service, steps} = job;
-    const tasks = steps.reduce((sum, step) => sum + step.count, 0);
-    const {needs} = steps[0]!;
-    const places: number[] = [];
-    for (const lane of this.lanes.values()) {
-      if (!lane.isOpen || lane.report.service !== service) {
-        continue;
-      }
-      const free = lane.free();
-      const count = Math.min(
-        needs.cores > 0 ? Math.floor(free.cores / needs.cores) : Infinity,
-        needs.memoryMb > 0
-          ? Math.floor(free.memoryMb / needs.memoryMb)
-          : Infinity,
-        tasks,
-      );
-      for (let i = 0; i < count; i++) {
-        places.push(0);
-      }
-      for (const run of lane.runs.values()) {
-        places.push(Math.max(0, run.orderedMs + run.expectedMs - nowMs));
-      }
-    }
-    return places;
-  }
-
   /** Marks tasks that run already, ordered by an earlier scheduler. */
   private claimOrphans(record: JobRecord): void {
     for (const lane of this.lanes.values()) {
@@ -780,37 +755,6 @@
   runs: number;
 }
 
-/** Whether a job's tasks go before another's: by priority, then arrival. */
-function isBefore(a: JobRecord, b: JobRecord): boolean {
-  return a.job.priority === b.job.priority
-    ? a.sequence < b.sequence
-    : a.job.priority < b.job.priority;
-}
-
-function hasWaitingTask(record: JobRecord): boolean {
-  return record.tasks.some(
-    task => task.state === 'waiting' || task.state === 'claimed',
-  );
-}
-
-/** What a scheduler that ends has ordered of a job. */
-function placedTasks(record: JobRecord): PlacedTask[] {
-  return record.tasks.flatMap(task => {
-    const targetId = task.run?.lane.report.targetId ?? task.claimedAt;
-    const isDone = task.state === 'done';
-    return isDone || targetId !== undefined
-      ? [
-          {
-            taskId: task.taskId,
-            targetId: targetId ?? ('' as TargetId),
-            run: task.nextRun - 1,
-            isDone,
-          },
-        ]
-      : [];
-  });
-}
-
 function notScheduler(): JobOutcome {
   return {
     kind: 'refused',
