--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -56,6 +56,7 @@
   private node!: ClusterNode;
   private queues: QueueTable | undefined;
   private revision: number | undefined;
+  private isConfigurationDue = false;
   private fencedToken = 0;
   /** Monotonic time at which this data centre's grant last changed. */
   private grantChangedMs = -Infinity;
@@ -223,22 +224,30 @@
   }
 
   private follow(state: ControlState): void {
-    const {configuration} = state;
-    if (configuration && configuration.revision !== this.revision) {
-      this.revision = configuration.revision;
-      this.queues = QueueTable.create(
-        this.opts.queuesOf(configuration.content),
-      );
-      this.opts.log.emit('configurationInForce', {revision: this.revision});
-      if (this.state === 'starting') {
-        this.state = 'ready';
-        this.opts.log.emit('ready', {revision: this.revision});
-        this.node.membership.beat();
-      }
+    if (!this.isConfigurationDue) {
+      this.isConfigurationDue = true;
+      // After a restart many revisions are applied at once; the last one counts.
+      queueMicrotask(() => this.takeConfiguration());
     }
     this.followGrant(state);
   }
 
+  private takeConfiguration(): void {
+    this.isConfigurationDue = false;
+    const {configuration} = this.store.state;
+    if (!configuration || configuration.revision === this.revision) {
+      return;
+    }
+    this.revision = configuration.revision;
+    this.queues = QueueTable.create(this.opts.queuesOf(configuration.content));
+    this.opts.log.emit('configurationInForce', {revision: this.revision});
+    if (this.state === 'starting') {
+      this.state = 'ready';
+      this.opts.log.emit('ready', {revision: this.revision});
+      this.node.membership.beat();
+    }
+  }
+
   /** Begins or ends scheduling, as the grant in force says. */
   private followGrant(state: ControlState): void {
     const {cfg} = this.opts;
