--- a/packages/scheduling/src/_lib/create_job_record.test.ts
+++ b/packages/scheduling/src/_lib/create_job_record.test.ts
@@ -41,7 +41,7 @@
       '5c0e7a21d94b36f8.0.0.4',
     ]);
     expect(record.objectiveAtMs).toBeCloseTo(1.6 * 60 + 60 - 10);
-    expect(record.mayHaveRun).toBe(false);
+    expect(record.hasRun).toBe(false);
   });
 
   it('allows a wide step as many waves as it needs', () => {
@@ -71,6 +71,6 @@
       'waiting',
     ]);
     expect(record.tasks[1]!.nextRun).toBe(2);
-    expect(record.mayHaveRun).toBe(true);
+    expect(record.hasRun).toBe(true);
   });
 });
--- a/packages/scheduling/src/_lib/create_job_record.ts
+++ b/packages/scheduling/src/_lib/create_job_record.ts
@@ -45,7 +45,7 @@
     expectedMs,
     tasks: [],
     samples: [],
-    mayHaveRun: job.placed !== undefined,
+    hasRun: job.placed !== undefined,
     isOver: false,
     finish,
     outcome,
--- a/packages/scheduling/src/_lib/job_record.ts
+++ b/packages/scheduling/src/_lib/job_record.ts
@@ -23,8 +23,8 @@
   readonly expectedMs: readonly number[];
   readonly tasks: TaskRecord[];
   readonly samples: RunTimeSample[];
-  /** Whether an order to start one of its tasks may have been sent. */
-  mayHaveRun: boolean;
+  /** Whether a run of one of its tasks has certainly begun. */
+  hasRun: boolean;
   isOver: boolean;
   readonly finish: (outcome: JobOutcome) => void;
   readonly outcome: Promise<JobOutcome>;
--- a/packages/scheduling/src/_lib/run_record.ts
+++ b/packages/scheduling/src/_lib/run_record.ts
@@ -17,6 +17,8 @@
   readonly orderedMs: number;
   /** Time at which the target confirmed it, if it did. */
   confirmedMs: number | undefined;
+  /** Whether its target was asked about it after its expected end. */
+  isOverdue: boolean;
   /** Expected run time on this target, in milliseconds. */
   readonly expectedMs: number;
   /** Lease end of the order to start, on the target's clock. */
--- a/packages/scheduling/src/_lib/target_lane.ts
+++ b/packages/scheduling/src/_lib/target_lane.ts
@@ -11,7 +11,7 @@
 import type {RunRecord} from './run_record.js';
 
 /** Share of the longest lease for which a target may wait for an end. */
-const HOLD_WAIT_SHARE = 0.45;
+const HOLD_WAIT_SHARE = 0.3;
 /** Pause after an order to hold got no answer, in ms. */
 const RETRY_PAUSE_MS = 100;
 /** Longest pause while a target without runs does not answer, in ms. */
@@ -255,6 +255,11 @@
     }
   }
 
+  /** Asks what has become of the runs, apart from a hold that waits. */
+  async look(): Promise<void> {
+    await this.hold(false);
+  }
+
   /** Lets time act on the trust. */
   passTime(): void {
     const before = this.trust;
@@ -302,7 +307,9 @@
   }
 
   private retryPauseMs(): number {
-    this.failuresInRow++;
+    if (this.failuresInRow === 1) {
+      return 0;
+    }
     return this.runs.size > 0
       ? RETRY_PAUSE_MS
       : Math.min(
@@ -315,7 +322,10 @@
   private async hold(mayWait: boolean): Promise<boolean> {
     const {clock, port, token, timing} = this.host;
     const waitMs =
-      mayWait && this.isConfirmed && this.orphans.size === 0
+      mayWait &&
+      this.isConfirmed &&
+      this.orphans.size === 0 &&
+      this.failuresInRow === 0
         ? Math.floor(timing.maxLeaseMs * HOLD_WAIT_SHARE)
         : 0;
     const leaseEndMs = this.clock.isKnown ? this.leaseEnd() : undefined;
@@ -338,7 +348,11 @@
         this.heard(res.clockMs);
         return this.holdRejected(res.reason);
       case 'unknown':
-        this.silent();
+        // One answer may get lost; a target that is asked again and does not
+        // answer either is silent.
+        if (++this.failuresInRow > 1) {
+          this.silent();
+        }
         return false;
       default:
         return res satisfies never;
@@ -475,12 +489,13 @@
     while (!this.isOver && this.runs.get(taskId) === run) {
       const res = await port.stop(this.endpoint, order);
       if (res.kind === 'accepted') {
-        // A run that arrived just before takes this long to end.
-        await clock.sleep(timing.stopMs + LAPSE_SLACK_MS);
-        if (run.confirmedMs === undefined) {
+        // Asked after the stop: a run that began before it is listed.
+        const isAnswered = await this.hold(false);
+        if (isAnswered && run.confirmedMs === undefined) {
           this.drop(run, 'stopped before it began');
-        } else {
-          await this.hold(false);
+        }
+        if (this.runs.get(taskId) === run) {
+          await clock.sleep(timing.stopMs);
         }
       } else if (res.kind === 'rejected') {
         if (res.reason === 'fenced') {
--- a/packages/scheduling/src/scheduler/scheduler.test.ts
+++ b/packages/scheduling/src/scheduler/scheduler.test.ts
@@ -48,6 +48,8 @@
   readonly targets = new Map<TargetId, EmulatedTarget>();
   readonly faults: Faults = {lostAnswers: 0, lateOrders: 0, cut: new Set()};
   readonly twice: string[] = [];
+  /** Holds that get no answer from now on. */
+  loseHolds = 0;
   private readonly random;
   private made = 0;
 
@@ -160,8 +162,10 @@
     ) {
       await this.clock.sleep(2);
     }
-    if (this.faults.cut.has(to.targetId)) {
-      await this.clock.sleep(HOLD_ANSWER_MS);
+    const isLost = this.loseHolds > 0 && order.waitMs > 0;
+    if (isLost || this.faults.cut.has(to.targetId)) {
+      this.loseHolds -= isLost ? 1 : 0;
+      await this.clock.sleep(endMs - this.clock.now() + HOLD_ANSWER_MS);
       return {kind: 'unknown', reason: 'cut'};
     }
     const res = target.hold(order.token, order.seenEnd, order.leaseEndMs);
@@ -296,6 +300,31 @@
     expect(scheduler.targets).toBe(1);
   });
 
+  it('finds an end whose answer was lost, and goes on with the target', async () => {
+    const bench = new Bench(8);
+    const scheduler = await began(bench, 1);
+    const one = {steps: [{...jobOf(0).steps[0]!, count: 1}]};
+    const outcome = scheduler.submit(jobOf(1, one));
+    await bench.clock.advance(20);
+    // The hold that waits for the end gets no answer; the next one does.
+    bench.loseHolds = 1;
+    const startedMs = bench.clock.now();
+    expect((await settled(bench.clock, outcome, 2_000)).kind).toBe('completed');
+    expect(bench.clock.now() - startedMs).toBeLessThan(250);
+    expect(bench.log.count('targetSilent')).toBe(0);
+  });
+
+  it('refuses, truthfully, a job whose only orders were void', async () => {
+    const bench = new Bench(9);
+    const scheduler = await began(bench, 1);
+    bench.targets.get('t1' as TargetId)!.isFull = true;
+    const job = jobOf(1, {leftMs: 400});
+    const outcome = await settled(bench.clock, scheduler.submit(job), 2_000);
+    expect(outcome.kind).toBe('refused');
+    await bench.clock.advance(10_000);
+    expect(bench.startsOf(job.id)).toBe(0);
+  });
+
   it('hands over what it has ordered, and the next one starts nothing twice', async () => {
     const bench = new Bench(5, 400);
     const first = await began(bench, 3);
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -17,6 +17,7 @@
 import {isBefore} from '../_lib/is_before.js';
 import {jobKey} from '../_lib/job_key.js';
 import {longestChain} from '../_lib/longest_chain.js';
+import {mayHaveRun} from '../_lib/may_have_run.js';
 import {placedTasks} from '../_lib/placed_tasks.js';
 import {placesFor} from '../_lib/places_for.js';
 import {TargetLane} from '../_lib/target_lane.js';
@@ -31,6 +32,10 @@
 
 /** Period of the checks for stragglers and passed deadlines, in ms. */
 const WATCH_PERIOD_MS = 40;
+/** A target is asked about a run after this many times its expected time... */
+const OVERDUE_FACTOR = 1.5;
+/** ...and this much more, in ms. */
+const OVERDUE_SLACK_MS = 40;
 /** A run is a straggler after this many times its expected time... */
 const STRAGGLER_FACTOR = 4;
 /** ...and this much more, in ms. */
@@ -148,7 +153,7 @@
     for (const record of [...this.jobs.values()]) {
       this.conclude(
         record,
-        record.mayHaveRun
+        mayHaveRun(record)
           ? {kind: 'handedOver', placed: placedTasks(record)}
           : notScheduler(),
       );
@@ -214,7 +219,7 @@
     const nowMs = this.opts.clock.now();
     const {record, places} = this.prepare(job, nowMs);
     this.claimOrphans(record);
-    if (!record.mayHaveRun && !job.isPromised) {
+    if (!mayHaveRun(record) && !job.isPromised) {
       const admission = this.admission(record, places, nowMs);
       if (admission.kind === 'refused') {
         record.isOver = true;
@@ -331,7 +336,6 @@
         if (task.state !== 'done' && lane.knowsOrphan(task.taskId)) {
           task.state = 'claimed';
           task.claimedAt = lane.report.targetId;
-          record.mayHaveRun = true;
         }
       }
     }
@@ -454,7 +458,6 @@
     const run = this.makeRun(task, lane, task.nextRun++, false);
     task.state = 'placed';
     task.run = run;
-    task.job.mayHaveRun = true;
     void lane.start(run);
     chosen.free = lane.free();
     chosen.runs = lane.runs.size;
@@ -485,6 +488,7 @@
       confirmedMs: undefined,
       expectedMs: task.job.expectedMs[task.step]! * lane.slowness,
       leaseEndMs: lane.leaseEnd(),
+      isOverdue: false,
       isAdopted,
       isAbandoned: false,
     };
@@ -493,6 +497,7 @@
   private runEnded(run: RunRecord, how: EndReport['how']): void {
     const {task} = run;
     const {lane} = run;
+    task.job.hasRun = true;
     const ranMs = this.opts.clock.now() - (run.confirmedMs ?? run.orderedMs);
     if (how === 'done' && !run.isAbandoned && !run.isAdopted) {
       const {job, expectedMs, samples} = task.job;
@@ -593,7 +598,7 @@
         void task.run.lane.stop(task.run);
       }
     }
-    const isRefusal = !record.mayHaveRun;
+    const isRefusal = !mayHaveRun(record);
     this.conclude(
       record,
       isRefusal
@@ -713,6 +718,14 @@
       return;
     }
     const ranMs = nowMs - run.orderedMs;
+    if (
+      !run.isOverdue &&
+      ranMs > OVERDUE_FACTOR * run.expectedMs + OVERDUE_SLACK_MS
+    ) {
+      // The answer that listed its end may be lost.
+      run.isOverdue = true;
+      void lane.look();
+    }
     const isStraggler =
       run.state === 'running' &&
       this.estimates.isSettled(task.job.job.kind) &&
--- a/packages/test_kit/src/emulated_target/emulated_target.ts
+++ b/packages/test_kit/src/emulated_target/emulated_target.ts
@@ -24,6 +24,8 @@
   readonly starts: Array<{readonly taskId: TaskId; readonly atMs: number}> = [];
   /** Share of the runs that fail, 0 to 1. */
   failRate = 0;
+  /** Whether it rejects all starts for want of room. */
+  isFull = false;
   /** Factor on run times. */
   slowness = 1;
   private readonly ends: EmulatedEnd[] = [];
@@ -91,7 +93,7 @@
     for (const other of this.runs.values()) {
       used += other.cores;
     }
-    if (used > this.cores) {
+    if (this.isFull || used > this.cores) {
       return {kind: 'rejected', reason: 'noRoom', clockMs: nowMs};
     }
     const endsAtMs = nowMs + this.runMsOf(taskId) * this.slowness;
