--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -95,7 +95,7 @@
     return this.host?.token;
   }
 
-  /** Jobs that have no task started. */
+  /** Jobs that have a task which waits. */
   get waitingJobs(): number {
     return this.waiting.length;
   }
@@ -233,7 +233,6 @@
     );
     this.load.add(job.priority, workMs, nowMs);
     this.jobs.set(key, record);
-    this.enqueue(record);
     this.unblock(record);
     this.completeIfDone(record);
     this.pump();
@@ -383,7 +382,7 @@
   }
 
   private enqueue(record: JobRecord): void {
-    if (record.isOver) {
+    if (record.isOver || this.waiting.includes(record)) {
       return;
     }
     const at = this.waiting.findIndex(other => isBefore(record, other));
@@ -495,8 +494,7 @@
   }
 
   private runEnded(run: RunRecord, how: EndReport['how']): void {
-    const {task} = run;
-    const {lane} = run;
+    const {task, lane} = run;
     task.job.hasRun = true;
     const ranMs = this.opts.clock.now() - (run.confirmedMs ?? run.orderedMs);
     if (how === 'done' && !run.isAbandoned && !run.isAdopted) {
@@ -556,11 +554,8 @@
       return;
     }
     task.avoid.add(target);
-    const isQueued = this.waiting.includes(record);
     task.state = 'waiting';
-    if (!isQueued) {
-      this.enqueue(record);
-    }
+    this.enqueue(record);
     this.pumpSoon();
   }
 
@@ -578,7 +573,7 @@
         }
       }
     });
-    if (hasWaitingTask(record) && !this.waiting.includes(record)) {
+    if (hasWaitingTask(record)) {
       this.enqueue(record);
     }
   }
