Objectives of wide jobs count the room of all data centres

Cause: an objective allows a step wider than a quarter of the room as many waves as it needs. The scheduler took its own data centre's places for the room, so jobs of five tasks and more got twice the objective that callers have, were admitted, and came late. Ruled out: run-time estimates (the scheduler's own count of late reports is 286 of 1,609; the callers' is 707). Change: the room is the scheduler's places times the data centres that have a scheduler by the log, which does not change in a cut. Test: "judges wide jobs by the room of all data centres", red with one. Most late answers are left; they wait for places.

--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -66,6 +66,7 @@
     const {metrics} = opts;
     this.scheduler = Scheduler.create({
       ...opts,
+      dataCentres: () => Object.keys(this.store.state.schedulers).length,
       onFenced: token => (this.fencedToken = token),
       onOutcome: (job, outcome, tookMs) => {
         const verdict = 'reason' in outcome ? outcome.reason : outcome.kind;
--- a/packages/scheduling/src/_lib/create_job_record.ts
+++ b/packages/scheduling/src/_lib/create_job_record.ts
@@ -12,7 +12,7 @@
  * @param job - The job.
  * @param expectedMs - Expected run time of a task, by step.
  * @param sequence - Order of arrival.
- * @param places - Places that its tasks may use.
+ * @param room - Places of the whole service that its tasks may use.
  * @param nowMs - Monotonic time.
  * @returns The record; all tasks wait or are blocked by earlier steps.
  * @throws Never.
@@ -23,13 +23,13 @@
   job: ScheduledJob,
   expectedMs: readonly number[],
   sequence: number,
-  places: number,
+  room: number,
   nowMs: number,
 ): JobRecord {
   let finish: (outcome: JobOutcome) => void = () => undefined;
   const outcome = new Promise<JobOutcome>(resolve => (finish = resolve));
   // A step that is wider than its share of the places takes several waves.
-  const wave = Math.max(1, places * WAVE_SHARE);
+  const wave = Math.max(1, room * WAVE_SHARE);
   const inWavesMs = job.steps.map(
     (step, n) => expectedMs[n]! * Math.max(1, Math.ceil(step.count / wave)),
   );
--- a/packages/scheduling/src/scheduler/scheduler.test.ts
+++ b/packages/scheduling/src/scheduler/scheduler.test.ts
@@ -50,6 +50,7 @@
   readonly twice: string[] = [];
   /** Holds that get no answer from now on. */
   loseHolds = 0;
+  dataCentres = 1;
   private readonly random;
   private made = 0;
 
@@ -82,6 +83,7 @@
         maxLeaseMs: MAX_LEASE_MS,
         stopMs: STOP_MS,
       },
+      dataCentres: () => this.dataCentres,
       onFenced: () => undefined,
       onOutcome: () => undefined,
     });
@@ -269,6 +271,19 @@
     expect(bench.startsOf(jobOf(2).id)).toBe(0);
   });
 
+  it('judges wide jobs by the room of all data centres, not of its own', async () => {
+    const bench = new Bench(8);
+    bench.dataCentres = 3;
+    // Eight places of 24: four tasks are one wave there, two waves here alone.
+    const scheduler = await began(bench, 4);
+    const wide = (n: number): ScheduledJob => jobOf(n, {slackMs: 60});
+    for (const n of [1, 2, 3, 4]) {
+      void scheduler.submit(wide(n));
+    }
+    const outcome = await settled(bench.clock, scheduler.submit(wide(5)), 20);
+    expect(outcome).toMatchObject({kind: 'refused', reason: 'tooLate'});
+  });
+
   it('tries a failed task again, up to the attempts of its queue', async () => {
     const bench = new Bench(3);
     const scheduler = await began(bench, 3);
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -289,9 +289,11 @@
     );
     const places = placesFor(job, this.lanes.values(), nowMs);
     const sequence = ++this.sequence;
-    const count = places.length;
+    // Objectives count the room of the whole service, and data centres are
+    // taken to be alike.
+    const room = places.length * Math.max(1, this.opts.dataCentres());
     return {
-      record: createJobRecord(job, expectedMs, sequence, count, nowMs),
+      record: createJobRecord(job, expectedMs, sequence, room, nowMs),
       places,
     };
   }
--- a/packages/scheduling/src/scheduler/scheduler_options.ts
+++ b/packages/scheduling/src/scheduler/scheduler_options.ts
@@ -15,6 +15,8 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly timing: SchedulerTiming;
+  /** Data centres that have a scheduler, this one included; a count. */
+  readonly dataCentres: () => number;
   /** Called when a target has seen a higher fencing token than the grant's. */
   readonly onFenced: (token: number) => void;
   /** Called with each job that ended, for metrics. */
