Jobs that would wait are shared out over all data centres by quotes

Cause: each data centre queued for itself (26 places), although the three together had free places; other data centres were asked only when a job could not be done in time at all. Late answers, not refusals, cost most. Change: a scheduler quotes when each task of a job would end; a job whose last task would start later than 5 ms is quoted everywhere and each task goes where it ends first (share_out, pure). A scheduler that gave no quote is left out for one heartbeat, so that a cut does not cost each job the time-out. Tests: shareOut's properties and its load pattern (three free places in each of three data centres); the searches of the scheduler go through the same path.

--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -4,6 +4,7 @@
   InstanceId,
   JobId,
   JobOutcome,
+  JobQuote,
   JobRefusal,
   KnownInstance,
   ScheduledJob,
@@ -11,12 +12,11 @@
 import {PeerCallError} from '@papayarun/protocol';
 import type {ControlState, SchedulerGrant} from '@papayarun/releases';
 import {ControlStore} from '@papayarun/releases';
-import {Scheduler} from '@papayarun/scheduling';
+import {Scheduler, shareOut} from '@papayarun/scheduling';
 import {ClusterNode} from '../cluster_node/cluster_node.js';
 import {QueueTable} from '../work_queue/queue_table.js';
 import type {WorkQueue} from '../work_queue/work_queue.js';
 import type {EntryInstanceOptions} from './entry_instance_options.js';
-import {splitSteps} from './split_steps.js';
 
 /** Time beyond the caller's deadline for a scheduler's answer, in ms. */
 const ANSWER_SLACK_MS = 100;
@@ -28,18 +28,21 @@
 const TAKEOVER_MS = 500;
 /** Longest wait of a new job for such a scheduler, in milliseconds. */
 const TAKEOVER_WAIT_MS = 250;
-/** Longest wait for another data centre's offer, in milliseconds. */
+/** Longest wait for another data centre's quote, in milliseconds. */
 const QUOTE_TIMEOUT_MS = 40;
+/** Time for which a scheduler that gave no quote isn't asked again, in ms. */
+const NO_QUOTE_PAUSE_MS = 300;
 const LIST_TIMEOUT_MS = 1_000;
 /** When a caller may come back if no scheduler can be reached, in ms. */
 const NO_SCHEDULER_RETRY_MS = 1_000;
 
 type Refused = Extract<JobOutcome, {kind: 'refused'}>;
+const NO_QUOTE: JobQuote = {endsMs: [], limitMs: 0};
 const NO_SCHEDULER: Refused = {
   kind: 'refused',
   reason: 'notScheduler',
   retryAfterMs: NO_SCHEDULER_RETRY_MS,
-  offer: 0,
+  quote: NO_QUOTE,
 };
 const LOST = {kind: 'failed', reason: 'schedulerLost'} as const;
 
@@ -52,6 +55,8 @@
   private readonly scheduler: Scheduler;
   /** Instances that wait for each job of this scheduler. */
   private readonly owners = new Map<JobId, Set<InstanceId>>();
+  /** Until when a scheduler that gave no quote isn't asked for one. */
+  private readonly unquotedUntil = new Map<InstanceId, number>();
   private state: Heartbeat['state'] = 'starting';
   private node!: ClusterNode;
   private queues: QueueTable | undefined;
@@ -163,14 +168,13 @@
     const own = this.ownOf(holders);
     const others = holders.filter(holder => holder !== own);
     const aged = this.aged(job, startedMs);
-    const quotes = others.map(holder => this.quoteOf(holder, aged));
-    const offers = [
-      ...(own ? [refusal.offer] : []),
-      ...(await Promise.all(quotes)),
+    const quotes = [
+      ...(own ? [refusal.quote] : []),
+      ...(await Promise.all(others.map(h => this.quoteOf(h, aged)))),
     ];
-    const parts = splitSteps(this.aged(job, startedMs), offers);
+    const parts = shareOut(this.aged(job, startedMs), quotes);
     return parts && !signal.aborted
-      ? this.submitParts(own ? [own, ...others] : others, parts, signal)
+      ? this.submitParts(own ? [own, ...others] : others, parts, quotes, signal)
       : refusal;
   }
 
@@ -204,7 +208,7 @@
     const {network} = this.node;
     network.onCall('scheduleJob', (from, {job}) => this.scheduleFor(from, job));
     network.onCall('quoteJob', (_from, {job}) =>
-      Promise.resolve({offer: this.scheduler.quote(job)}),
+      Promise.resolve({quote: this.scheduler.quote(job)}),
     );
     network.onNotice('cancelJob', (from, {jobId}) => this.disown(jobId, from));
     network.onCall('reportTarget', (_from, {report}) =>
@@ -375,20 +379,27 @@
     };
   }
 
-  /** Tasks that another data centre's scheduler could do in time. */
-  private async quoteOf(holder: Holder, job: ScheduledJob): Promise<number> {
+  /** When the tasks of a job would end in another data centre. */
+  private async quoteOf(holder: Holder, job: ScheduledJob): Promise<JobQuote> {
+    const {clock, log} = this.opts;
     const {network} = this.node;
+    const {instanceId} = holder.grant;
+    if (clock.now() < (this.unquotedUntil.get(instanceId) ?? 0)) {
+      return NO_QUOTE;
+    }
     const opts = {timeoutMs: QUOTE_TIMEOUT_MS};
     try {
-      const to = holder.grant.instanceId;
-      return (await network.call(to, 'quoteJob', {job}, opts)).offer;
+      const res = await network.call(instanceId, 'quoteJob', {job}, opts);
+      this.unquotedUntil.delete(instanceId);
+      return res.quote;
     } catch (err) {
-      this.opts.log.emit('noQuote', {
+      this.unquotedUntil.set(instanceId, clock.now() + NO_QUOTE_PAUSE_MS);
+      log.emit('noQuote', {
         jobId: job.id,
-        scheduler: holder.grant.instanceId,
+        scheduler: instanceId,
         err: (err as Error).message,
       });
-      return 0;
+      return NO_QUOTE;
     }
   }
 
@@ -396,6 +407,7 @@
   private async submitParts(
     holders: readonly Holder[],
     parts: ReadonlyArray<ScheduledJob | undefined>,
+    quotes: readonly JobQuote[],
     signal: AbortSignal,
   ): Promise<JobOutcome> {
     const ending = new AbortController();
@@ -405,6 +417,8 @@
       jobId: parts.find(part => part)?.id,
       tasks: parts.map(part => part?.steps[0]?.count ?? 0),
       schedulers: holders.map(holder => holder.grant.instanceId),
+      lastEndsMs: quotes.map(({endsMs}) => Math.round(Math.max(0, ...endsMs))),
+      limitsMs: quotes.map(({limitMs}) => Math.round(limitMs)),
     });
     const outcomes = await Promise.all(
       holders.map(async (holder, i) => {
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -75,6 +75,7 @@
 export * from './resources/fits_in.js';
 export * from './scheduling/job_failure.js';
 export * from './scheduling/job_outcome.js';
+export * from './scheduling/job_quote.js';
 export * from './scheduling/job_refusal.js';
 export * from './scheduling/placed_task.js';
 export * from './scheduling/run_time_sample.js';
--- a/packages/protocol/src/scheduling/job_outcome.ts
+++ b/packages/protocol/src/scheduling/job_outcome.ts
@@ -1,4 +1,5 @@
 import type {JobFailure} from './job_failure.js';
+import type {JobQuote} from './job_quote.js';
 import type {JobRefusal} from './job_refusal.js';
 import type {PlacedTask} from './placed_task.js';
 import type {RunTimeSample} from './run_time_sample.js';
@@ -22,6 +23,6 @@
       readonly reason: JobRefusal;
       /** When to come back, in milliseconds. */
       readonly retryAfterMs: number;
-      /** Tasks of it that could be done in time here. */
-      readonly offer: number;
+      /** When its tasks would end here; the job may still be split. */
+      readonly quote: JobQuote;
     };
--- a/packages/protocol/src/scheduling/job_refusal.ts
+++ b/packages/protocol/src/scheduling/job_refusal.ts
@@ -6,5 +6,7 @@
   | 'takingOver'
   | 'noTargets'
   | 'tooLate'
+  /** It would be done in time, but others may begin it earlier. */
+  | 'wouldWait'
   | 'tooMany'
   | 'cancelled';
--- a/packages/scheduling/src/admit_job/admission.ts
+++ b/packages/scheduling/src/admit_job/admission.ts
@@ -1,15 +1,15 @@
-import type {JobRefusal} from '@papayarun/protocol';
+import type {JobQuote, JobRefusal} from '@papayarun/protocol';
 
 /**
  * Whether a job is taken.
  */
 export type Admission =
-  | {readonly kind: 'admitted'}
+  | {readonly kind: 'admitted'; readonly quote: JobQuote}
   | {
       readonly kind: 'refused';
       readonly reason: JobRefusal;
       /** When there should be room again, in milliseconds. */
       readonly retryAfterMs: number;
-      /** Tasks of it that could be done in time. */
-      readonly offer: number;
+      /** When its tasks would end, and by when they would have to. */
+      readonly quote: JobQuote;
     };
--- a/packages/scheduling/src/admit_job/admit_job.test.ts
+++ b/packages/scheduling/src/admit_job/admit_job.test.ts
@@ -16,15 +16,15 @@
 
 describe('admitJob', () => {
   it('takes a job that meets its objective', () => {
-    expect(admitJob(USUAL)).toEqual({kind: 'admitted'});
+    expect(admitJob(USUAL)).toMatchObject({kind: 'admitted'});
   });
 
-  it('refuses one that ends after its objective, and offers what fits', () => {
+  it('refuses one that ends after its objective, and says what would fit', () => {
     const admission = admitJob({...USUAL, endsMs: [60, 400]});
     expect(admission).toMatchObject({
       kind: 'refused',
       reason: 'tooLate',
-      offer: 1,
+      quote: {endsMs: [60, 400]},
     });
   });
 
@@ -39,7 +39,7 @@
     expect(admitJob({...waits, busyAbove: 0.6}).kind).toBe('refused');
   });
 
-  it('never offers more tasks than the job has, nor asks back at once', () => {
+  it('never quotes more tasks than the job has, nor asks back at once', () => {
     const prospect = fc.record({
       places: fc.nat(100),
       chainMs: fc.integer({min: 1, max: 2_000}),
@@ -53,7 +53,8 @@
       fc.property(prospect, p => {
         const admission = admitJob(p);
         if (admission.kind === 'refused') {
-          expect(admission.offer).toBeLessThanOrEqual(p.endsMs.length);
+          const {endsMs} = admission.quote;
+          expect(endsMs.length).toBeLessThanOrEqual(p.endsMs.length);
           expect(admission.retryAfterMs).toBeGreaterThanOrEqual(250);
         } else {
           expect(Math.max(...p.endsMs)).toBeLessThanOrEqual(p.callerLeftMs);
--- a/packages/scheduling/src/admit_job/admit_job.ts
+++ b/packages/scheduling/src/admit_job/admit_job.ts
@@ -1,3 +1,4 @@
+import type {JobQuote} from '@papayarun/protocol';
 import type {Admission} from './admission.js';
 import type {JobProspect} from './job_prospect.js';
 
@@ -11,6 +12,7 @@
 const WIDE_SHARE = 0.25;
 /** Most that urgent work is taken to slow down the rest, as a share. */
 const MAX_BUSY_ABOVE = 0.8;
+const NO_QUOTE: JobQuote = {endsMs: [], limitMs: 0};
 
 /**
  * Decides whether a job is taken or refused at once.
@@ -31,7 +33,7 @@
 export function admitJob(prospect: JobProspect): Admission {
   const {places, chainMs, objectiveLeftMs, callerLeftMs} = prospect;
   if (places === 0) {
-    return refuse('noTargets', MIN_RETRY_AFTER_MS, 0);
+    return refuse('noTargets', MIN_RETRY_AFTER_MS, NO_QUOTE);
   }
   const free = 1 - Math.min(MAX_BUSY_ABOVE, prospect.busyAbove);
   const endsMs = prospect.endsMs.map(endMs => {
@@ -45,21 +47,21 @@
     objectiveLeftMs < chainMs ? objectiveLeftMs : chainMs + share * slackMs,
     callerLeftMs,
   );
-  const offer = endsMs.filter(endMs => endMs <= limitMs).length;
-  if (offer === endsMs.length && prospect.waitingJobs < MAX_WAITING_JOBS) {
-    return {kind: 'admitted'};
-  }
+  const quote = {endsMs, limitMs};
   const lateMs = Math.max(...endsMs) - limitMs;
-  return prospect.waitingJobs >= MAX_WAITING_JOBS
-    ? refuse('tooMany', lateMs, 0)
-    : refuse('tooLate', lateMs, offer);
+  if (prospect.waitingJobs >= MAX_WAITING_JOBS) {
+    return refuse('tooMany', lateMs, NO_QUOTE);
+  }
+  return lateMs > 0
+    ? refuse('tooLate', lateMs, quote)
+    : {kind: 'admitted', quote};
 }
 
 function refuse(
   reason: Extract<Admission, {kind: 'refused'}>['reason'],
   afterMs: number,
-  offer: number,
+  quote: JobQuote,
 ): Admission {
   const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, Math.ceil(afterMs));
-  return {kind: 'refused', reason, retryAfterMs, offer};
+  return {kind: 'refused', reason, retryAfterMs, quote};
 }
--- a/packages/scheduling/src/scheduler/scheduler.test.ts
+++ b/packages/scheduling/src/scheduler/scheduler.test.ts
@@ -222,6 +222,17 @@
   };
 }
 
+/** Hands a job in as an entry does that finds no other data centre. */
+async function handIn(
+  scheduler: Scheduler,
+  job: ScheduledJob,
+): Promise<JobOutcome> {
+  const outcome = await scheduler.submit(job);
+  return outcome.kind === 'refused' && outcome.reason === 'wouldWait'
+    ? scheduler.submit({...job, isPromised: true})
+    : outcome;
+}
+
 async function settled(
   clock: VirtualClock,
   outcome: Promise<JobOutcome>,
@@ -249,7 +260,7 @@
   it('runs a job on several targets and says that it is complete', async () => {
     const bench = new Bench(1);
     const scheduler = await began(bench, 2);
-    const outcome = scheduler.submit(jobOf(1));
+    const outcome = handIn(scheduler, jobOf(1));
     expect((await settled(bench.clock, outcome, 1_000)).kind).toBe('completed');
     expect(bench.startsOf(jobOf(1).id)).toBe(4);
   });
@@ -258,11 +269,12 @@
     const bench = new Bench(2, 900);
     const scheduler = await began(bench, 1);
     const long = {steps: [{...jobOf(0).steps[0]!, estimateMs: 900}]};
-    void scheduler.submit(jobOf(1, long));
+    void handIn(scheduler, jobOf(1, long));
+    await bench.clock.advance(1);
     const startedMs = bench.clock.now();
     const outcome = await settled(
       bench.clock,
-      scheduler.submit(jobOf(2)),
+      handIn(scheduler, jobOf(2)),
       1_000,
     );
     expect(outcome.kind).toBe('refused');
@@ -278,9 +290,10 @@
     const scheduler = await began(bench, 4);
     const wide = (n: number): ScheduledJob => jobOf(n, {slackMs: 60});
     for (const n of [1, 2, 3, 4]) {
-      void scheduler.submit(wide(n));
+      void handIn(scheduler, wide(n));
+      await bench.clock.advance(1);
     }
-    const outcome = await settled(bench.clock, scheduler.submit(wide(5)), 20);
+    const outcome = await settled(bench.clock, handIn(scheduler, wide(5)), 20);
     expect(outcome).toMatchObject({kind: 'refused', reason: 'tooLate'});
   });
 
@@ -291,7 +304,7 @@
       target.failRate = 1;
     }
     const job = jobOf(1, {maxAttempts: 2});
-    const outcome = await settled(bench.clock, scheduler.submit(job), 3_000);
+    const outcome = await settled(bench.clock, handIn(scheduler, job), 3_000);
     expect(outcome).toEqual({kind: 'failed', reason: 'taskFailed'});
   });
 
@@ -303,7 +316,7 @@
       sequence: 2,
       state: 'draining',
     });
-    await settled(bench.clock, scheduler.submit(jobOf(1)), 1_000);
+    await settled(bench.clock, handIn(scheduler, jobOf(1)), 1_000);
     expect(bench.targets.get('t1' as TargetId)!.starts).toHaveLength(0);
   });
 
@@ -319,7 +332,7 @@
     const bench = new Bench(8);
     const scheduler = await began(bench, 1);
     const one = {steps: [{...jobOf(0).steps[0]!, count: 1}]};
-    const outcome = scheduler.submit(jobOf(1, one));
+    const outcome = handIn(scheduler, jobOf(1, one));
     await bench.clock.advance(20);
     // The hold that waits for the end gets no answer; the next one does.
     bench.loseHolds = 1;
@@ -334,7 +347,7 @@
     const scheduler = await began(bench, 1);
     bench.targets.get('t1' as TargetId)!.isFull = true;
     const job = jobOf(1, {leftMs: 400});
-    const outcome = await settled(bench.clock, scheduler.submit(job), 2_000);
+    const outcome = await settled(bench.clock, handIn(scheduler, job), 2_000);
     expect(outcome.kind).toBe('refused');
     await bench.clock.advance(10_000);
     expect(bench.startsOf(job.id)).toBe(0);
@@ -344,7 +357,7 @@
     const bench = new Bench(5, 400);
     const first = await began(bench, 3);
     const long = {steps: [{...jobOf(0).steps[0]!, estimateMs: 400}]};
-    const before = first.submit(jobOf(1, long));
+    const before = handIn(first, jobOf(1, long));
     await bench.clock.advance(50);
     const second = bench.scheduler();
     second.begin(2);
@@ -353,7 +366,7 @@
     expect(handedOver.kind).toBe('handedOver');
     const placed = handedOver.kind === 'handedOver' ? handedOver.placed : [];
     // The job comes before the targets are known here.
-    const outcome = second.submit(jobOf(1, {...long, placed}));
+    const outcome = handIn(second, jobOf(1, {...long, placed}));
     for (const id of bench.targets.keys()) {
       second.accept(reportOf(id));
     }
@@ -369,7 +382,7 @@
     second.begin(2);
     second.accept(reportOf('t1' as TargetId));
     await bench.clock.advance(50);
-    const outcome = await settled(bench.clock, first.submit(jobOf(1)), 1_000);
+    const outcome = await settled(bench.clock, handIn(first, jobOf(1)), 1_000);
     expect(outcome.kind).toBe('handedOver');
     expect(first.token).toBeUndefined();
     expect(bench.startsOf(jobOf(1).id)).toBe(0);
@@ -395,7 +408,7 @@
             } else {
               bench.faults.cut.clear();
             }
-            void scheduler.submit(jobOf(n, {steps})).then(outcome => {
+            void handIn(scheduler, jobOf(n, {steps})).then(outcome => {
               if (outcome.kind === 'refused') {
                 refused.push(jobOf(n).id);
               }
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -2,6 +2,7 @@
   JobFailure,
   JobId,
   JobOutcome,
+  JobQuote,
   KindId,
   RunTimeSample,
   ScheduledJob,
@@ -52,6 +53,9 @@
 const MAX_KEPT_OUTCOMES = 1_024;
 /** Run times that an outcome carries at most. */
 const MAX_SAMPLES = 2;
+/** Wait for a place from which other data centres are asked, in ms. */
+const ASK_OTHERS_MS = 5;
+const NO_QUOTE: JobQuote = {endsMs: [], limitMs: 0};
 /** When a caller may come back while a scheduler takes over, in ms. */
 const TAKEOVER_RETRY_MS = 500;
 
@@ -226,6 +230,11 @@
         this.note(record, admission);
         return Promise.resolve(admission);
       }
+      if (startsAfterMs(admission.quote, record) > ASK_OTHERS_MS) {
+        // Not final: the entry shares it out, and comes back with a promise.
+        record.isOver = true;
+        return Promise.resolve(wouldWait(admission.quote));
+      }
     }
     const workMs = record.tasks.reduce(
       (sum, t) => sum + record.expectedMs[t.step]!,
@@ -250,21 +259,18 @@
   }
 
   /**
-   * How many tasks of a job could be done in time here.
+   * When the tasks of a job would end here.
    *
    * @param job - The job, which is not taken by this.
-   * @returns Number of its tasks; 0 without the grant.
+   * @returns The quote; an empty one without the grant.
    */
-  quote(job: ScheduledJob): number {
+  quote(job: ScheduledJob): JobQuote {
     if (!this.host) {
-      return 0;
+      return NO_QUOTE;
     }
     const nowMs = this.opts.clock.now();
     const {record, places} = this.prepare(job, nowMs);
-    const admission = this.admission(record, places, nowMs);
-    return admission.kind === 'admitted'
-      ? record.tasks.length
-      : admission.offer;
+    return this.admission(record, places, nowMs).quote;
   }
 
   /**
@@ -603,7 +609,7 @@
             kind: 'refused',
             reason: reason === 'cancelled' ? 'cancelled' : 'tooLate',
             retryAfterMs: TAKEOVER_RETRY_MS,
-            offer: 0,
+            quote: NO_QUOTE,
           }
         : {kind: 'failed', reason},
     );
@@ -770,10 +776,28 @@
     kind: 'refused',
     reason: 'notScheduler',
     retryAfterMs: TAKEOVER_RETRY_MS,
-    offer: 0,
+    quote: NO_QUOTE,
+  };
+}
+
+function wouldWait(quote: JobQuote): JobOutcome {
+  return {
+    kind: 'refused',
+    reason: 'wouldWait',
+    retryAfterMs: TAKEOVER_RETRY_MS,
+    quote,
   };
 }
 
+/** Time until the last task of a quote starts, in milliseconds. */
+function startsAfterMs(quote: JobQuote, record: JobRecord): number {
+  return Math.max(
+    ...quote.endsMs.map(
+      (endMs, n) => endMs - record.expectedMs[record.tasks[n]!.step]!,
+    ),
+  );
+}
+
 function countOf(record: JobRecord, step: number, lane: TargetLane): number {
   return record.tasks.filter(
     task => task.step === step && task.run?.lane === lane,
--- /dev/null
+++ b/packages/scheduling/src/share_out/share_out.test.ts
@@ -0,0 +1,100 @@
+import type {
+  JobId,
+  JobQuote,
+  KindId,
+  ScheduledJob,
+  ServiceId,
+} from '@papayarun/protocol';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {shareOut} from './share_out.js';
+
+function jobOf(count: number, steps = 1): ScheduledJob {
+  const step = {
+    count,
+    firstIndex: 0,
+    needs: {cores: 1, memoryMb: 1, accelerators: 0},
+    estimateMs: 60,
+    after: [],
+  };
+  return {
+    id: '5c0e7a21d94b36f8' as JobId,
+    kind: 'relato' as KindId,
+    service: 'falhas' as ServiceId,
+    spec: '',
+    steps: Array.from({length: steps}, () => step),
+    priority: 0,
+    maxAttempts: 1,
+    stretch: 1,
+    slackMs: 0,
+    ageMs: 0,
+    leftMs: 1_000,
+    isPromised: false,
+  };
+}
+
+const LIMIT_MS = 156;
+
+function quoteOf(...endsMs: number[]): JobQuote {
+  return {endsMs, limitMs: LIMIT_MS};
+}
+
+describe('shareOut', () => {
+  it('gives each task to exactly one part, to whoever ends it first', () => {
+    const quotes = fc.array(
+      fc.array(fc.integer({min: 60, max: 300}), {maxLength: 20}),
+      {minLength: 1, maxLength: 4},
+    );
+    fc.assert(
+      fc.property(fc.integer({min: 1, max: 40}), quotes, (count, given) => {
+        const ends = given.map(endsMs => [...endsMs].sort((a, b) => a - b));
+        const parts = shareOut(
+          jobOf(count),
+          ends.map(endsMs => quoteOf(...endsMs)),
+        );
+        const inTime = ends.flatMap(e => e.filter(ms => ms <= LIMIT_MS));
+        expect(parts !== undefined).toBe(inTime.length >= count);
+        if (!parts) {
+          return;
+        }
+        const taken = parts.flatMap((part, i) =>
+          ends[i]!.slice(0, part?.steps[0]!.count ?? 0),
+        );
+        const best = inTime.sort((a, b) => a - b)[count - 1]!;
+        // Farther schedulers have to be a round trip earlier.
+        expect(Math.max(...taken)).toBeLessThanOrEqual(best + 2);
+        const indices = parts.flatMap(part => {
+          const step = part?.steps[0];
+          return Array.from(
+            {length: step?.count ?? 0},
+            (_, n) => step!.firstIndex + n,
+          );
+        });
+        expect(indices).toEqual(Array.from({length: count}, (_, n) => n));
+      }),
+    );
+  });
+
+  it('replays a busy hour: a wide job takes the free places of three data centres at once', () => {
+    // Three free places in each of three data centres, the next in 80 ms.
+    const busy = quoteOf(60, 60, 60, 140, 140, 140, 140, 140);
+    const parts = shareOut(jobOf(8), [busy, busy, busy])!;
+    expect(parts.map(part => part?.steps[0]!.count)).toEqual([3, 3, 2]);
+  });
+
+  it('keeps a job near its caller while that costs no time', () => {
+    const parts = shareOut(jobOf(2), [quoteOf(60, 61), quoteOf(60, 60)])!;
+    expect(parts.map(part => part?.steps[0]!.count)).toEqual([2, undefined]);
+  });
+
+  it('leaves jobs of several steps whole, where they end first', () => {
+    const job = jobOf(2, 2);
+    const slow = quoteOf(60, 60, 120, 150);
+    const fast = quoteOf(60, 60, 120, 120);
+    expect(shareOut(job, [slow, fast])).toEqual([
+      undefined,
+      {...job, isPromised: true},
+    ]);
+    expect(shareOut(job, [quoteOf(60, 60, 120, 160)])).toBeUndefined();
+  });
+});
