Expected waits count places by size, and overdue runs as busy

Cause: the expected wait of a task took each run for one place. A task of 20 cores does not fit where one of 14 ends beside another of 14, so large tasks were promised places that they could not use. Runs that took longer than expected counted as free places.

--- a/packages/scheduling/src/_lib/target_lane.ts
+++ b/packages/scheduling/src/_lib/target_lane.ts
@@ -4,6 +4,7 @@
 import type {HoldResult} from '../target_port/hold_result.js';
 import type {OrderRejection} from '../target_port/order_rejection.js';
 import type {TargetEndpoint} from '../target_port/target_endpoint.js';
+import {remainingMs} from '../remaining_time/remaining_ms.js';
 import {TargetClock} from '../target_clock/target_clock.js';
 import {nextTrust} from '../target_trust/next_trust.js';
 import type {TargetTrust} from '../target_trust/target_trust.js';
@@ -112,6 +113,18 @@
     return free;
   }
 
+  /** When its runs are expected to end, the first one first, and their needs. */
+  endsAhead(
+    nowMs: number,
+  ): Array<{readonly atMs: number; readonly freed: Resources}> {
+    return [...this.runs.values()]
+      .map(run => ({
+        atMs: remainingMs(run.expectedMs, nowMs - run.orderedMs),
+        freed: run.needs,
+      }))
+      .sort((a, b) => a.atMs - b.atMs);
+  }
+
   /** Time by which a run that can't be asked about has certainly ended. */
   get certainEndMs(): number {
     return this.lapsedByMs + this.host.timing.stopMs + LAPSE_SLACK_MS;
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -21,6 +21,7 @@
 import {mayHaveRun} from '../_lib/may_have_run.js';
 import {placedTasks} from '../_lib/placed_tasks.js';
 import {placesFor} from '../_lib/places_for.js';
+import {roomFor} from '../_lib/room_for.js';
 import {TargetLane} from '../_lib/target_lane.js';
 import {admitJob} from '../admit_job/admit_job.js';
 import type {Admission} from '../admit_job/admission.js';
@@ -221,10 +222,10 @@
       return Promise.resolve(notScheduler());
     }
     const nowMs = this.opts.clock.now();
-    const {record, places} = this.prepare(job, nowMs);
+    const {record, places, room} = this.prepare(job, nowMs);
     this.claimOrphans(record);
     if (!mayHaveRun(record) && !job.isPromised) {
-      const admission = this.admission(record, places, nowMs);
+      const admission = this.admission(record, places, room, nowMs);
       if (admission.kind === 'refused') {
         record.isOver = true;
         this.note(record, admission);
@@ -269,8 +270,8 @@
       return NO_QUOTE;
     }
     const nowMs = this.opts.clock.now();
-    const {record, places} = this.prepare(job, nowMs);
-    return this.admission(record, places, nowMs).quote;
+    const {record, places, room} = this.prepare(job, nowMs);
+    return this.admission(record, places, room, nowMs).quote;
   }
 
   /**
@@ -289,24 +290,31 @@
   private prepare(
     job: ScheduledJob,
     nowMs: number,
-  ): {readonly record: JobRecord; readonly places: readonly number[]} {
+  ): {
+    readonly record: JobRecord;
+    readonly places: readonly number[];
+    readonly room: number;
+  } {
     const expectedMs = job.steps.map(step =>
       this.estimates.expect(job.kind, step.estimateMs),
     );
     const places = placesFor(job, this.lanes.values(), nowMs);
     const sequence = ++this.sequence;
+    const room = roomFor(job, this.lanes.values());
     // Objectives count the room of the whole service, and data centres are
     // taken to be alike.
-    const room = places.length * Math.max(1, this.opts.dataCentres());
+    const total = room * Math.max(1, this.opts.dataCentres());
     return {
-      record: createJobRecord(job, expectedMs, sequence, room, nowMs),
+      record: createJobRecord(job, expectedMs, sequence, total, nowMs),
       places,
+      room,
     };
   }
 
   private admission(
     record: JobRecord,
     places: readonly number[],
+    room: number,
     nowMs: number,
   ): Admission {
     const {job, expectedMs} = record;
@@ -323,10 +331,10 @@
     const ownMs = record.tasks.map(task => expectedMs[task.step]!);
     const busy = this.load.busyAbove(job.priority, nowMs);
     return admitJob({
-      places: places.length,
+      places: room,
       chainMs: longestChain(job.steps, expectedMs),
       endsMs: expectedEnds(places, aheadMs, ownMs),
-      busyAbove: busy / Math.max(1, places.length),
+      busyAbove: busy / Math.max(1, room),
       objectiveLeftMs: record.objectiveAtMs - nowMs,
       callerLeftMs: record.callerLeavesAtMs - nowMs,
       waitingJobs: this.waiting.length,
@@ -446,18 +454,9 @@
   }
 
   private place(task: TaskRecord, options: LaneOption[]): void {
-    const {job} = task.job;
-    const step = job.steps[task.step]!;
-    const usable = options.filter(
-      ({lane}) =>
-        lane.report.service === job.service &&
-        !task.avoid.has(lane.report.targetId) &&
-        (step.requiredLabel === undefined ||
-          lane.report.labels.includes(step.requiredLabel)) &&
-        (step.maxPerTarget === undefined ||
-          countOf(task.job, task.step, lane) < step.maxPerTarget),
-    );
-    const chosen = chooseTarget(usable, step.needs);
+    const {needs} = task.job.job.steps[task.step]!;
+    const usable = options.filter(({lane}) => isAllowed(task, lane));
+    const chosen = chooseTarget(usable, needs);
     if (!chosen) {
       return;
     }
@@ -771,6 +770,19 @@
   runs: number;
 }
 
+function isAllowed(task: TaskRecord, lane: TargetLane): boolean {
+  const {job} = task.job;
+  const step = job.steps[task.step]!;
+  return (
+    lane.report.service === job.service &&
+    !task.avoid.has(lane.report.targetId) &&
+    (step.requiredLabel === undefined ||
+      lane.report.labels.includes(step.requiredLabel)) &&
+    (step.maxPerTarget === undefined ||
+      countOf(task.job, task.step, lane) < step.maxPerTarget)
+  );
+}
+
 function notScheduler(): JobOutcome {
   return {
     kind: 'refused',
