Jobs that are late already wait behind those that can be in time

Cause: in order of arrival, jobs that missed their objective while they waited took the places as they became free and made the jobs behind them late too. Change: compareWaiting, a pure order: priority, still in time, arrival. Test: compare_waiting.test.ts replays the overload.

--- /dev/null
+++ b/packages/scheduling/src/_lib/compare_waiting.test.ts
@@ -0,0 +1,44 @@
+import type {JobId, KindId, ScheduledJob, ServiceId} from '@papayarun/protocol';
+import {describe, expect, it} from 'vitest';
+import {compareWaiting} from './compare_waiting.js';
+import {createJobRecord} from './create_job_record.js';
+import type {JobRecord} from './job_record.js';
+
+const RUN_MS = 60;
+
+/** A job that came at a time, with an objective of 156 ms. */
+function recordOf(sequence: number, priority: number, atMs = 0): JobRecord {
+  const needs = {cores: 14, memoryMb: 64, accelerators: 0};
+  const job: ScheduledJob = {
+    id: '5c0e7a21d94b36f8' as JobId,
+    kind: 'relato' as KindId,
+    service: 'falhas' as ServiceId,
+    spec: '',
+    steps: [{count: 1, firstIndex: 0, needs, estimateMs: RUN_MS, after: []}],
+    priority,
+    maxAttempts: 1,
+    stretch: 1.6,
+    slackMs: 60,
+    ageMs: 0,
+    leftMs: 1_500,
+    isPromised: false,
+  };
+  return createJobRecord(job, [RUN_MS], sequence, 60, atMs);
+}
+
+describe('compareWaiting', () => {
+  it('puts the more urgent one first, even when it is late', () => {
+    expect(compareWaiting(recordOf(2, 0), recordOf(1, 1), 900)).toBeLessThan(0);
+  });
+
+  it('keeps the order of arrival while both can be in time', () => {
+    expect(compareWaiting(recordOf(1, 0), recordOf(2, 0), 50)).toBeLessThan(0);
+  });
+
+  it('replays an overload: what is late anyway does not make others late', () => {
+    const late = recordOf(1, 0);
+    const fresh = recordOf(2, 0, 100);
+    expect(compareWaiting(late, fresh, 96)).toBeLessThan(0);
+    expect(compareWaiting(late, fresh, 97)).toBeGreaterThan(0);
+  });
+});
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -15,7 +15,7 @@
 import type {TaskRecord} from '../_lib/task_record.js';
 import {createJobRecord} from '../_lib/create_job_record.js';
 import {hasWaitingTask} from '../_lib/has_waiting_task.js';
-import {isBefore} from '../_lib/is_before.js';
+import {compareWaiting} from '../_lib/compare_waiting.js';
 import {jobKey} from '../_lib/job_key.js';
 import {longestChain} from '../_lib/longest_chain.js';
 import {mayHaveRun} from '../_lib/may_have_run.js';
@@ -73,7 +73,7 @@
   private readonly jobs = new Map<string, JobRecord>();
   private readonly lanes = new Map<TargetId, TargetLane>();
   private readonly kept = new Map<string, JobOutcome>();
-  /** Jobs with waiting tasks, the most urgent first. */
+  /** Jobs with waiting tasks; sorted before each round of placing. */
   private waiting: JobRecord[] = [];
   private host: LaneHost | undefined;
   private ending = new AbortController();
@@ -401,12 +401,7 @@
     if (record.isOver || this.waiting.includes(record)) {
       return;
     }
-    const at = this.waiting.findIndex(other => isBefore(record, other));
-    if (at < 0) {
-      this.waiting.push(record);
-    } else {
-      this.waiting.splice(at, 0, record);
-    }
+    this.waiting.push(record);
   }
 
   private pumpSoon(): void {
@@ -425,6 +420,8 @@
       return;
     }
     const options = this.options();
+    const nowMs = this.opts.clock.now();
+    this.waiting.sort((a, b) => compareWaiting(a, b, nowMs));
     for (const record of [...this.waiting]) {
       this.settleClaims(record);
       for (const task of record.tasks) {
