Storms of less urgent kinds leave some places to the urgent one

Cause: in a storm of the least urgent kind, whose tasks run for 0.9 s, each of them took a place as soon as one was free; an urgent job of eight short tasks then found none for most of its slack. Change: keptPlaces, pure: none up to a load of 0.8, rising to a quarter of the places that more urgent work uses at a load of 1.

--- /dev/null
+++ b/packages/scheduling/src/kept_places/kept_places.ts
@@ -0,0 +1,28 @@
+import type {UrgentLoad} from './urgent_load.js';
+
+/** Part of the places that more urgent work keeps busy which stays free. */
+const KEPT_SHARE = 0.25;
+/** Load from which places are kept; the usual load of a day lies below. */
+const KEEP_FROM_LOAD = 0.8;
+/** Load at which all of them are kept: as much comes as can be done. */
+const KEEP_ALL_LOAD = 1;
+
+/**
+ * Free places that a task leaves to work that is more urgent than it.
+ *
+ * @description Load pattern: a storm of the least urgent kind, whose tasks run
+ * long. Each takes a place as soon as one is free, and the next urgent job
+ * finds none for as long as they run. Kept places cost capacity, so none are
+ * kept while there is enough for all.
+ * @param load - Load by work that is more urgent, and by all.
+ * @returns A number of places; a fraction is usual.
+ * @throws Never.
+ * @example
+ * keptPlaces({busyAbove: 8, busy: 26, room: 26}); // 2
+ */
+export function keptPlaces({busyAbove, busy, room}: UrgentLoad): number {
+  const over =
+    (busy / Math.max(1, room) - KEEP_FROM_LOAD) /
+    (KEEP_ALL_LOAD - KEEP_FROM_LOAD);
+  return KEPT_SHARE * busyAbove * Math.min(1, Math.max(0, over));
+}
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -27,6 +27,7 @@
 import type {Admission} from '../admit_job/admission.js';
 import {chooseTarget} from '../choose_target/choose_target.js';
 import {expectedEnds} from '../expected_ends/expected_ends.js';
+import {keptPlaces} from '../kept_places/kept_places.js';
 import {LoadMeter} from '../load_meter/load_meter.js';
 import {RunEstimates} from '../run_estimates/run_estimates.js';
 import type {EndReport} from '../target_port/end_report.js';
@@ -422,11 +423,16 @@
     const options = this.options();
     const nowMs = this.opts.clock.now();
     this.waiting.sort((a, b) => compareWaiting(a, b, nowMs));
+    const places = countPlaces(options);
+    const busy = this.load.busyAbove(Infinity, nowMs);
     for (const record of [...this.waiting]) {
       this.settleClaims(record);
+      const busyAbove = this.load.busyAbove(record.job.priority, nowMs);
+      const kept = keptPlaces({busyAbove, busy, room: places.room});
       for (const task of record.tasks) {
-        if (task.state === 'waiting') {
-          this.place(task, options);
+        const mayPlace = kept === 0 || places.free > kept;
+        if (task.state === 'waiting' && mayPlace && this.place(task, options)) {
+          places.free--;
         }
       }
     }
@@ -450,12 +456,12 @@
     return options;
   }
 
-  private place(task: TaskRecord, options: LaneOption[]): void {
+  private place(task: TaskRecord, options: LaneOption[]): boolean {
     const {needs} = task.job.job.steps[task.step]!;
     const usable = options.filter(({lane}) => isAllowed(task, lane));
     const chosen = chooseTarget(usable, needs);
     if (!chosen) {
-      return;
+      return false;
     }
     const {lane} = chosen;
     const run = this.makeRun(task, lane, task.nextRun++, false);
@@ -473,6 +479,7 @@
         slowness: Number(lane.slowness.toFixed(2)),
       });
     }
+    return true;
   }
 
   private makeRun(
@@ -767,6 +774,26 @@
   runs: number;
 }
 
+/** Places for tasks of the mean size of those that run. */
+function countPlaces(options: readonly LaneOption[]): {
+  readonly room: number;
+  free: number;
+} {
+  const runs = options.flatMap(({lane}) => [...lane.runs.values()]);
+  const cores = runs.reduce((sum, run) => sum + run.needs.cores, 0);
+  const mean = cores / Math.max(1, runs.length);
+  if (mean === 0) {
+    return {room: Infinity, free: Infinity};
+  }
+  let room = 0;
+  let free = 0;
+  for (const option of options) {
+    room += Math.floor(option.lane.report.capacity.cores / mean);
+    free += Math.floor(option.free.cores / mean);
+  }
+  return {room, free};
+}
+
 function isAllowed(task: TaskRecord, lane: TargetLane): boolean {
   const {job} = task.job;
   const step = job.steps[task.step]!;
--- /dev/null
+++ b/packages/scheduling/src/scheduler/worst_load.test.ts
@@ -0,0 +1,414 @@
+import type {
+  DataCentreId,
+  JobId,
+  KindId,
+  RandomSource,
+  ScheduledJob,
+  ServiceId,
+  TargetId,
+  TargetReport,
+  TaskId,
+} from '@papayarun/protocol';
+import {SeededRandom} from '@papayarun/protocol';
+import {SilentLog, VirtualClock} from '@papayarun/test_kit';
+import {describe, expect, it} from 'vitest';
+import {shareOut} from '../share_out/share_out.js';
+import type {EndReport} from '../target_port/end_report.js';
+import type {HoldOrder} from '../target_port/hold_order.js';
+import type {HoldResult} from '../target_port/hold_result.js';
+import type {OrderResult} from '../target_port/order_result.js';
+import type {StartOrder} from '../target_port/start_order.js';
+import type {TargetPort} from '../target_port/target_port.js';
+import {Scheduler} from './scheduler.js';
+
+const DATA_CENTRES = 3;
+const TARGETS_EACH = 11;
+/** Every third target is larger and slower. */
+const LARGE_CORES = 48;
+const USUAL_CORES = 32;
+const LARGE_SLOWNESS = 1.3;
+const SLACK_MS = 60;
+const STRETCH = 1.6;
+const NO_GAIN_AFTER = 3;
+const SECOND_MS = 1_000;
+const SERVICE = 'falhas' as ServiceId;
+/** Credit of an answer after its objective, over one in time. */
+const LATE_CREDIT = 0.2;
+const STORM_FROM_MS = 1_000;
+const STORM_TO_MS = 6_000;
+/** Longer and other loads for trials apart from CI. */
+const LOAD_S = Number(process.env['PAPAYARUN_LOAD_S'] ?? 8);
+const SEEDS = (
+  process.env['PAPAYARUN_LOAD_SEEDS'] ?? '1,2,3,4,5,6,7,8,9,10'
+).split(',');
+
+/** A kind of job: its rate is per second over all data centres. */
+interface Kind {
+  readonly name: string;
+  readonly priority: number;
+  readonly width: number;
+  readonly runMs: number;
+  readonly perS: number;
+  readonly leftMs: number;
+}
+
+const KINDS: readonly Kind[] = [
+  {name: 'short', priority: 0, width: 8, runMs: 60, perS: 24, leftMs: 1_500},
+  {name: 'middle', priority: 1, width: 2, runMs: 200, perS: 70, leftMs: 2_000},
+  {name: 'long', priority: 2, width: 4, runMs: 900, perS: 4.4, leftMs: 6_000},
+];
+
+/** A task of a job as the targets know it. */
+interface TaskFacts {
+  readonly cores: number;
+  readonly workMs: number;
+}
+
+/** Counts of how the jobs of a kind ended. */
+interface Tally {
+  asked: number;
+  inAim: number;
+  late: number;
+  refused: number;
+  failed: number;
+  /** Refused after more than a quarter of the objective. */
+  refusedLate: number;
+  largeAsked: number;
+  largeInAim: number;
+}
+
+/** Targets with room of their own, over the virtual clock. */
+class LoadTarget {
+  private used = 0;
+  private ends: EndReport[] = [];
+  private readonly running = new Map<TaskId, number>();
+  private number = 0;
+  private wake: () => void = () => undefined;
+
+  constructor(
+    private readonly clock: VirtualClock,
+    readonly cores: number,
+    private readonly slowness: number,
+    private readonly factsOf: (taskId: TaskId) => TaskFacts,
+  ) {}
+
+  start(order: StartOrder): OrderResult {
+    const {cores, workMs} = this.factsOf(order.taskId);
+    const clockMs = this.clock.now();
+    if (this.used + cores > this.cores) {
+      return {kind: 'rejected', reason: 'noRoom', clockMs};
+    }
+    this.used += cores;
+    this.running.set(order.taskId, order.run);
+    void this.clock.sleep(workMs * this.slowness).then(() => {
+      if (this.running.get(order.taskId) === order.run) {
+        this.close(order.taskId, 'done');
+      }
+    });
+    return {kind: 'accepted', clockMs};
+  }
+
+  close(taskId: TaskId, how: EndReport['how']): void {
+    const run = this.running.get(taskId);
+    if (run !== undefined) {
+      this.running.delete(taskId);
+      this.used -= this.factsOf(taskId).cores;
+      this.ends.push({number: ++this.number, taskId, run, how});
+      this.wake();
+    }
+  }
+
+  async hold(order: HoldOrder): Promise<HoldResult> {
+    this.ends = this.ends.filter(end => end.number > order.seenEnd);
+    if (this.ends.length === 0 && order.waitMs > 0) {
+      const ended = new AbortController();
+      this.wake = () => ended.abort();
+      await this.clock.sleep(order.waitMs, ended.signal);
+    }
+    return {
+      kind: 'held',
+      clockMs: this.clock.now(),
+      running: [...this.running].map(([taskId, run]) => ({taskId, run})),
+      ended: [...this.ends],
+    };
+  }
+}
+
+/** Three data centres under a load, with an entry that shares jobs out. */
+class Load {
+  readonly clock = VirtualClock.create();
+  readonly tallies = new Map<string, Tally>();
+  private readonly random: RandomSource;
+  private readonly facts = new Map<TaskId, TaskFacts>();
+  private readonly targets = new Map<TargetId, LoadTarget>();
+  private readonly schedulers: Scheduler[] = [];
+  private made = 0;
+
+  constructor(seed: number) {
+    this.random = SeededRandom.create(seed);
+  }
+
+  async play(perS: (kind: Kind, atMs: number) => number): Promise<void> {
+    this.open();
+    await this.clock.advance(20);
+    const startMs = this.clock.now();
+    const endMs = startMs + LOAD_S * SECOND_MS;
+    for (const kind of KINDS) {
+      this.tallies.set(kind.name, {
+        asked: 0,
+        inAim: 0,
+        late: 0,
+        refused: 0,
+        failed: 0,
+        refusedLate: 0,
+        largeAsked: 0,
+        largeInAim: 0,
+      });
+      void this.arrive(kind, startMs, endMs, perS);
+    }
+    await this.clock.advance(endMs - startMs + 6 * SECOND_MS);
+  }
+
+  tally(name: string): Tally {
+    return this.tallies.get(name)!;
+  }
+
+  private open(): void {
+    for (let d = 0; d < DATA_CENTRES; d++) {
+      const scheduler = Scheduler.create({
+        port: this.port(),
+        clock: this.clock,
+        log: SilentLog.create(),
+        timing: {maxLeaseMs: SECOND_MS, stopMs: 50},
+        dataCentres: () => DATA_CENTRES,
+        onFenced: () => undefined,
+        onOutcome: () => undefined,
+      });
+      scheduler.begin(1);
+      for (let t = 0; t < TARGETS_EACH; t++) {
+        const isLarge = t % 3 === 2;
+        const targetId = `d${d}-t${t}` as TargetId;
+        const cores = isLarge ? LARGE_CORES : USUAL_CORES;
+        const slowness = isLarge ? LARGE_SLOWNESS : 1;
+        this.targets.set(
+          targetId,
+          new LoadTarget(this.clock, cores, slowness, id =>
+            this.facts.get(id)!,
+          ),
+        );
+        scheduler.accept(reportOf(targetId, cores));
+      }
+      this.schedulers.push(scheduler);
+    }
+  }
+
+  private port(): TargetPort {
+    const after = async <T>(act: () => T): Promise<T> => {
+      await this.clock.sleep(1);
+      return act();
+    };
+    const at = (id: TargetId): LoadTarget => this.targets.get(id)!;
+    return {
+      start: (to, order) => after(() => at(to.targetId).start(order)),
+      stop: (to, order) =>
+        after(() => {
+          at(to.targetId).close(order.taskId, 'stopped');
+          return {kind: 'accepted', clockMs: this.clock.now()} as const;
+        }),
+      hold: async (to, order) => {
+        await this.clock.sleep(1);
+        return at(to.targetId).hold(order);
+      },
+      release: () => undefined,
+    };
+  }
+
+  private async arrive(
+    kind: Kind,
+    startMs: number,
+    endMs: number,
+    perS: (kind: Kind, atMs: number) => number,
+  ): Promise<void> {
+    while (this.clock.now() < endMs) {
+      const rate = perS(kind, this.clock.now() - startMs);
+      const gapMs = (-Math.log(1 - this.random.next()) * SECOND_MS) / rate;
+      await this.clock.sleep(gapMs);
+      void this.ask(kind);
+    }
+  }
+
+  private async ask(kind: Kind): Promise<void> {
+    const id = (++this.made).toString(16).padStart(16, '0') as JobId;
+    const workMs = kind.runMs * this.spread(0.4);
+    const count = Math.max(1, Math.round(kind.width * this.spread(0.4)));
+    const cores = Math.min(20, 14 * this.spread(0.2));
+    let chainMs = 0;
+    for (let i = 0; i < count; i++) {
+      const taskMs = workMs * this.spread(0.15);
+      chainMs = Math.max(chainMs, taskMs);
+      this.facts.set(`${id}.0.0.${i}` as TaskId, {cores, workMs: taskMs});
+    }
+    const job = jobOf(kind, id, count, cores, workMs * this.spread(0.4));
+    const tally = this.tally(kind.name);
+    const isLarge = cores > USUAL_CORES / 2;
+    tally.asked++;
+    tally.largeAsked += isLarge ? 1 : 0;
+    const askedMs = this.clock.now();
+    const first = Math.floor(this.random.next() * DATA_CENTRES);
+    const end = await this.submit(job, first);
+    const tookMs = this.clock.now() - askedMs;
+    const objectiveMs = STRETCH * chainMs + SLACK_MS;
+    if (end === 'completed') {
+      const isInAim = tookMs <= objectiveMs;
+      tally.inAim += isInAim ? 1 : 0;
+      tally.largeInAim += isInAim && isLarge ? 1 : 0;
+      tally.late += !isInAim && tookMs <= NO_GAIN_AFTER * objectiveMs ? 1 : 0;
+    } else {
+      tally[end]++;
+      tally.refusedLate +=
+        end === 'refused' && tookMs > objectiveMs / 4 ? 1 : 0;
+    }
+  }
+
+  /** As an entry does: the own data centre first, then shared out. */
+  private async submit(
+    job: ScheduledJob,
+    first: number,
+  ): Promise<'completed' | 'refused' | 'failed'> {
+    const order = this.schedulers.map(
+      (_s, i) => this.schedulers[(first + i) % DATA_CENTRES]!,
+    );
+    const own = await order[0]!.submit(job);
+    if (own.kind !== 'refused') {
+      return own.kind === 'completed' ? 'completed' : 'failed';
+    }
+    await this.clock.sleep(2);
+    const quotes = order.map((scheduler, i) =>
+      i === 0 ? own.quote : scheduler.quote(job),
+    );
+    const parts = shareOut(job, quotes);
+    if (!parts) {
+      return 'refused';
+    }
+    const outcomes = await Promise.all(
+      parts.map((part, i) => part && order[i]!.submit(part)),
+    );
+    const ended = outcomes.filter(outcome => outcome !== undefined);
+    if (ended.every(outcome => outcome.kind === 'completed')) {
+      return 'completed';
+    }
+    return ended.every(outcome => outcome.kind === 'refused')
+      ? 'refused'
+      : 'failed';
+  }
+
+  /** A factor with a mean near 1 and this spread of its logarithm. */
+  private spread(sigma: number): number {
+    const u = 1 - this.random.next();
+    const v = this.random.next();
+    const normal = Math.sqrt(-2 * Math.log(u)) * Math.cos(2 * Math.PI * v);
+    return Math.exp(sigma * normal - (sigma * sigma) / 2);
+  }
+}
+
+function reportOf(targetId: TargetId, cores: number): TargetReport {
+  return {
+    targetId,
+    bornMs: 1,
+    sequence: 1,
+    state: 'ready',
+    service: SERVICE,
+    dataCentre: 'centro' as DataCentreId,
+    host: '127.0.0.1',
+    port: 1,
+    capacity: {cores, memoryMb: 131_072, accelerators: 0},
+    labels: [],
+  };
+}
+
+function jobOf(
+  kind: Kind,
+  id: JobId,
+  count: number,
+  cores: number,
+  estimateMs: number,
+): ScheduledJob {
+  const needs = {cores, memoryMb: 64, accelerators: 0};
+  return {
+    id,
+    kind: kind.name as KindId,
+    service: SERVICE,
+    spec: '',
+    steps: [{count, firstIndex: 0, needs, estimateMs, after: []}],
+    priority: kind.priority,
+    maxAttempts: 4,
+    stretch: STRETCH,
+    slackMs: SLACK_MS,
+    ageMs: 0,
+    leftMs: kind.leftMs,
+    isPromised: false,
+  };
+}
+
+/** Plays a load with several seeds and gives the summed tallies. */
+async function tallies(
+  perS: (kind: Kind, atMs: number) => number,
+): Promise<Map<string, Tally>> {
+  const sums = new Map<string, Tally>();
+  for (const seed of SEEDS) {
+    const load = new Load(Number(seed));
+    await load.play(perS);
+    for (const [name, tally] of load.tallies) {
+      const sum = sums.get(name);
+      if (!sum) {
+        sums.set(name, {...tally});
+        continue;
+      }
+      for (const key of Object.keys(sum) as Array<keyof Tally>) {
+        sum[key] += tally[key];
+      }
+    }
+  }
+  if (process.env['PAPAYARUN_LOAD_SHOW']) {
+    const lines = [...sums].map(([name, t]) => {
+      const per = (n: number, of: number): string => (n / of).toFixed(3);
+      return `${name}: worth ${earned(t).toFixed(3)} aim ${per(t.inAim, t.asked)} late ${per(t.late, t.asked)} refused ${per(t.refused, t.asked)} (late ${t.refusedLate}) failed ${t.failed} large ${per(t.largeInAim, t.largeAsked)}`;
+    });
+    process.stdout.write(`\n${lines.join('\n')}\n`);
+  }
+  return sums;
+}
+
+function isStorm(atMs: number): boolean {
+  return atMs > STORM_FROM_MS && atMs < STORM_TO_MS;
+}
+
+/** Share of the credit that a kind earns: late answers count a fifth. */
+function earned({asked, inAim, late}: Tally): number {
+  return (inAim + late * LATE_CREDIT) / asked;
+}
+
+describe('worst load', () => {
+  it('serves nine tenths of each kind at the usual load', async () => {
+    const sums = await tallies(kind => kind.perS);
+    for (const tally of sums.values()) {
+      expect(earned(tally)).toBeGreaterThanOrEqual(0.9);
+    }
+  }, 60_000);
+
+  it('replays a storm of the least urgent kind: the most urgent one keeps nine tenths', async () => {
+    const sums = await tallies((kind, atMs) =>
+      kind.name === 'long' && isStorm(atMs) ? 2.5 * kind.perS : kind.perS,
+    );
+    expect(earned(sums.get('short')!)).toBeGreaterThanOrEqual(0.9);
+  }, 60_000);
+
+  it('replays a storm of all kinds: the most urgent one keeps nine tenths, refusals come at once', async () => {
+    const sums = await tallies((kind, atMs) =>
+      isStorm(atMs) ? 1.7 * kind.perS : kind.perS,
+    );
+    expect(earned(sums.get('short')!)).toBeGreaterThanOrEqual(0.9);
+    const {asked, refusedLate} = sums.get('middle')!;
+    expect(refusedLate / asked).toBeLessThanOrEqual(0.01);
+  }, 60_000);
+});
