While little waits, jobs are taken late rather than refused

Cause: a job whose expected end missed its limit was refused even when nearly nothing waited and targets were free; large tasks met this in calm hours. Change: a quote also says by when an end is still of use (one and a half objectives) while fewer jobs than a quarter of the places wait; shareOut takes it when no split is in time. Tests: "offers to end late only while little waits", "takes a job late where that is offered, rather than refuse it".

--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -37,7 +37,7 @@
 const NO_SCHEDULER_RETRY_MS = 1_000;
 
 type Refused = Extract<JobOutcome, {kind: 'refused'}>;
-const NO_QUOTE: JobQuote = {endsMs: [], limitMs: 0};
+const NO_QUOTE: JobQuote = {endsMs: [], limitMs: 0, latestMs: 0};
 const NO_SCHEDULER: Refused = {
   kind: 'refused',
   reason: 'notScheduler',
--- a/packages/protocol/src/scheduling/job_quote.ts
+++ b/packages/protocol/src/scheduling/job_quote.ts
@@ -6,4 +6,6 @@
   readonly endsMs: readonly number[];
   /** Time by which they have to end for the job to be taken, in ms. */
   readonly limitMs: number;
+  /** Time by which they have to end to be of use, though late, in ms. */
+  readonly latestMs: number;
 }
--- a/packages/scheduling/src/admit_job/admit_job.test.ts
+++ b/packages/scheduling/src/admit_job/admit_job.test.ts
@@ -10,6 +10,7 @@
   endsMs: [60, 60],
   busyAbove: 0,
   objectiveLeftMs: 156,
+  usefulLeftMs: 234,
   callerLeftMs: 2_000,
   waitingJobs: 0,
 };
@@ -28,6 +29,14 @@
     });
   });
 
+  it('offers to end late only while little waits', () => {
+    const late = {...USUAL, endsMs: [60, 200]};
+    expect(admitJob(late)).toMatchObject({quote: {latestMs: 234}});
+    expect(admitJob({...late, waitingJobs: 5})).toMatchObject({
+      quote: {latestMs: 0},
+    });
+  });
+
   it('refuses when its caller will have left', () => {
     const admission = admitJob({...USUAL, callerLeftMs: 50});
     expect(admission.kind).toBe('refused');
@@ -46,6 +55,7 @@
       endsMs: fc.array(fc.integer({min: 1, max: 9_000}), {minLength: 1}),
       busyAbove: fc.double({min: 0, max: 2, noNaN: true}),
       objectiveLeftMs: fc.integer({min: -500, max: 4_000}),
+      usefulLeftMs: fc.integer({min: -500, max: 9_000}),
       callerLeftMs: fc.integer({min: -500, max: 4_000}),
       waitingJobs: fc.nat(3_000),
     });
@@ -80,6 +90,7 @@
         endsMs,
         busyAbove: 0,
         objectiveLeftMs: 1_500,
+        usefulLeftMs: 2_250,
         callerLeftMs: 4_000,
         waitingJobs: 0,
       });
--- a/packages/scheduling/src/admit_job/admit_job.ts
+++ b/packages/scheduling/src/admit_job/admit_job.ts
@@ -12,7 +12,9 @@
 const WIDE_SHARE = 0.25;
 /** Most that urgent work is taken to slow down the rest, as a share. */
 const MAX_BUSY_ABOVE = 0.8;
-const NO_QUOTE: JobQuote = {endsMs: [], limitMs: 0};
+/** Waiting jobs for each place from which late jobs are no longer taken. */
+const CALM_SHARE = 0.25;
+const NO_QUOTE: JobQuote = {endsMs: [], limitMs: 0, latestMs: 0};
 
 /**
  * Decides whether a job is taken or refused at once.
@@ -22,7 +24,9 @@
  * expected to meet its objective keeps all places busy with work that counts,
  * and tells the others at once. Waiting is stretched by the share of places
  * that more urgent work takes meanwhile. Narrow jobs may use a part of their
- * slack only, so that wide ones, which wait for many places, get in too.
+ * slack only, so that wide ones, which wait for many places, get in too. While
+ * little waits, a job that will be somewhat late may be taken as well: it goes
+ * behind the others and takes only places that they leave.
  * @param prospect - Expected ends and the times left.
  * @returns Whether it is taken, else when to come back.
  * @throws Never.
@@ -47,7 +51,9 @@
     objectiveLeftMs < chainMs ? objectiveLeftMs : chainMs + share * slackMs,
     callerLeftMs,
   );
-  const quote = {endsMs, limitMs};
+  const isCalm = prospect.waitingJobs < CALM_SHARE * places;
+  const latestMs = isCalm ? Math.min(callerLeftMs, prospect.usefulLeftMs) : 0;
+  const quote = {endsMs, limitMs, latestMs};
   const lateMs = Math.max(...endsMs) - limitMs;
   if (prospect.waitingJobs >= MAX_WAITING_JOBS) {
     return refuse('tooMany', lateMs, NO_QUOTE);
--- a/packages/scheduling/src/admit_job/job_prospect.ts
+++ b/packages/scheduling/src/admit_job/job_prospect.ts
@@ -12,6 +12,8 @@
   readonly busyAbove: number;
   /** Time from now until its objective has passed, in milliseconds. */
   readonly objectiveLeftMs: number;
+  /** Time from now until an answer is taken to be of little use, in ms. */
+  readonly usefulLeftMs: number;
   /** Time until its caller stops waiting, in milliseconds. */
   readonly callerLeftMs: number;
   /** Jobs that wait at this scheduler already. */
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -55,9 +55,11 @@
 const MAX_KEPT_OUTCOMES = 1_024;
 /** Run times that an outcome carries at most. */
 const MAX_SAMPLES = 2;
+/** Objectives after which a job's end is too late to take it for. */
+const LATE_FACTOR = 1.5;
 /** Wait for a place from which other data centres are asked, in ms. */
 const ASK_OTHERS_MS = 5;
-const NO_QUOTE: JobQuote = {endsMs: [], limitMs: 0};
+const NO_QUOTE: JobQuote = {endsMs: [], limitMs: 0, latestMs: 0};
 /** When a caller may come back while a scheduler takes over, in ms. */
 const TAKEOVER_RETRY_MS = 500;
 
@@ -337,6 +339,10 @@
       endsMs: expectedEnds(places, aheadMs, ownMs),
       busyAbove: busy / Math.max(1, room),
       objectiveLeftMs: record.objectiveAtMs - nowMs,
+      usefulLeftMs:
+        record.receivedMs +
+        LATE_FACTOR * (record.objectiveAtMs - record.receivedMs) -
+        nowMs,
       callerLeftMs: record.callerLeavesAtMs - nowMs,
       waitingJobs: this.waiting.length,
     });
--- a/packages/scheduling/src/share_out/share_out.test.ts
+++ b/packages/scheduling/src/share_out/share_out.test.ts
@@ -36,7 +36,7 @@
 const LIMIT_MS = 156;
 
 function quoteOf(...endsMs: number[]): JobQuote {
-  return {endsMs, limitMs: LIMIT_MS};
+  return {endsMs, limitMs: LIMIT_MS, latestMs: 0};
 }
 
 describe('shareOut', () => {
@@ -82,6 +82,12 @@
     expect(parts.map(part => part?.steps[0]!.count)).toEqual([3, 3, 2]);
   });
 
+  it('takes a job late where that is offered, rather than refuse it', () => {
+    const late = {endsMs: [60, 200], limitMs: LIMIT_MS, latestMs: 220};
+    const parts = shareOut(jobOf(2), [late, quoteOf(300)])!;
+    expect(parts.map(part => part?.steps[0]!.count)).toEqual([2, undefined]);
+  });
+
   it('keeps a job near its caller while that costs no time', () => {
     const parts = shareOut(jobOf(2), [quoteOf(60, 61), quoteOf(60, 60)])!;
     expect(parts.map(part => part?.steps[0]!.count)).toEqual([2, undefined]);
--- a/packages/scheduling/src/share_out/share_out.ts
+++ b/packages/scheduling/src/share_out/share_out.ts
@@ -12,7 +12,8 @@
  * @description Load pattern: most places are busy in each data centre, so that
  * a wide job finds few free ones in any of them, though there are enough
  * together. Each task goes where it is expected to end first (list scheduling
- * over all quotes). Jobs that can't be split go whole to the scheduler that
+ * over all quotes). When no split is in time, one that is late but of use is
+ * taken. Jobs that can't be split go whole to the scheduler that
  * ends them first.
  * @param job - The job.
  * @param quotes - What each scheduler expects; the nearest one first.
@@ -29,6 +30,14 @@
 export function shareOut(
   job: ScheduledJob,
   quotes: readonly JobQuote[],
+): Array<ScheduledJob | undefined> | undefined {
+  const late = quotes.map(quote => ({...quote, limitMs: quote.latestMs}));
+  return shareInTime(job, quotes) ?? shareInTime(job, late);
+}
+
+function shareInTime(
+  job: ScheduledJob,
+  quotes: readonly JobQuote[],
 ): Array<ScheduledJob | undefined> | undefined {
   const [step, ...others] = job.steps;
   // A bound for each target can't be kept by schedulers apart.
