--- /dev/null
+++ b/packages/daemon/src/entry_instance/scheduler_finder_options.ts
@@ -0,0 +1,18 @@
+import type {Membership} from '@papayarun/membership';
+import type {Clock, PeerNetwork, RandomSource} from '@papayarun/protocol';
+import type {ControlStore} from '@papayarun/releases';
+import type {NodeSettings} from '../cluster_node/node_settings.js';
+
+/**
+ * What the finder of schedulers needs.
+ */
+export interface SchedulerFinderOptions {
+  readonly cfg: NodeSettings;
+  readonly store: ControlStore;
+  readonly network: Pick<PeerNetwork, 'linked'>;
+  readonly membership: Pick<Membership, 'isAlive'>;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  /** Token under which this instance itself schedules, if it does. */
+  readonly ownToken: () => number | undefined;
+}
