Late jobs go on for as long as their callers wait

Cause: a job was given up at three objectives, refused if nothing of it had started and failed otherwise, although its caller still waited. In a storm this threw started work away and refused late what was already waiting. Test: "goes on with a late job for as long as its caller waits", red before (refused).

--- a/packages/scheduling/src/scheduler/scheduler.test.ts
+++ b/packages/scheduling/src/scheduler/scheduler.test.ts
@@ -297,6 +297,19 @@
     expect(outcome).toMatchObject({kind: 'refused', reason: 'tooLate'});
   });
 
+  it('goes on with a late job for as long as its caller waits', async () => {
+    const bench = new Bench(9, 900);
+    const scheduler = await began(bench, 1);
+    const one = {...jobOf(0).steps[0]!, count: 1, estimateMs: 60};
+    // Both places are taken for much longer than was declared.
+    for (const n of [1, 2]) {
+      void handIn(scheduler, jobOf(n, {steps: [one]}));
+    }
+    await bench.clock.advance(1);
+    const outcome = handIn(scheduler, jobOf(3, {steps: [one]}));
+    expect((await settled(bench.clock, outcome, 2_500)).kind).toBe('completed');
+  });
+
   it('tries a failed task again, up to the attempts of its queue', async () => {
     const bench = new Bench(3);
     const scheduler = await began(bench, 3);
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -45,8 +45,6 @@
 const STRAGGLER_SLACK_MS = 150;
 /** Time before a caller leaves at which its job is given up, in ms. */
 const ANSWER_MARGIN_MS = 20;
-/** Objectives after which an answer is of no more use to a caller. */
-const USELESS_FACTOR = 3;
 /** Time for a target to say whether a claimed task runs there, in ms. */
 const CLAIM_TIMEOUT_MS = 400;
 /** Silence of a target that is neither heard nor reported, in ms. */
@@ -687,13 +685,9 @@
   }
 
   private checkJob(record: JobRecord, nowMs: number): void {
-    const objectiveMs = record.objectiveAtMs - record.receivedMs;
-    const uselessAtMs = Math.min(
-      record.callerLeavesAtMs - ANSWER_MARGIN_MS,
-      record.receivedMs + USELESS_FACTOR * objectiveMs,
-    );
-    const leftMs = uselessAtMs - nowMs;
-    if (record.callerLeavesAtMs - nowMs < ANSWER_MARGIN_MS) {
+    // A late answer is still one: the job is given up with its caller only.
+    const leftMs = record.callerLeavesAtMs - ANSWER_MARGIN_MS - nowMs;
+    if (leftMs < 0) {
       this.fail(record, 'deadline');
       return;
     }
