Other data centres have 20 ms to quote, in place of 40

Cause: a scheduler that is cut off or overloaded gave no quote, and the caller of a short job (objective 156 ms) got its refusal 43 ms after it had come in, more than a quarter of the objective: no longer "at once". Ruled out: the pause for schedulers that gave no quote (it works: one time-out for each entry and 300 ms). Test: the pause is tested in job_submitter.test.ts; the figure itself is not.

--- a/packages/daemon/src/entry_instance/job_submitter.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.ts
@@ -14,10 +14,13 @@
 const ANSWER_SLACK_MS = 100;
 /** Pause between tries while a scheduler takes over, in milliseconds. */
 const TAKEOVER_POLL_MS = 20;
-/** Longest wait of a new job for such a scheduler, in milliseconds. */
-const TAKEOVER_WAIT_MS = 250;
-/** Longest wait for another data centre's quote, in milliseconds. */
-const QUOTE_TIMEOUT_MS = 40;
+/**
+ * Longest wait of a new job for such a scheduler, in milliseconds: an election
+ * and a grant. Callers that don't try again would lose the job by a refusal.
+ */
+const TAKEOVER_WAIT_MS = 400;
+/** Longest wait for another data centre's quote, in ms: many round trips. */
+const QUOTE_TIMEOUT_MS = 20;
 /** Time for which a scheduler that gave no quote isn't asked again, in ms. */
 const NO_QUOTE_PAUSE_MS = 300;
 /** When a caller may come back if no scheduler can be reached, in ms. */
