After a restart of all, entries know schedulers as soon as the log does

Ruled out: start-up of the processes; heartbeats over a new link (0.1 s). Callers that don't try again lose a refused job.

--- a/packages/daemon/src/cluster_node/roster.ts
+++ b/packages/daemon/src/cluster_node/roster.ts
@@ -4,6 +4,7 @@
   InstanceId,
   KnownInstance,
 } from '@papayarun/protocol';
+import type {ControlState} from '@papayarun/releases';
 import type {RosterOptions} from './roster_options.js';
 
 /** Period of asking state instances for others, in milliseconds. */
@@ -97,6 +98,20 @@
     this.link();
   }
 
+  /**
+   * Takes note of the schedulers that the log names, and links to them without
+   * waiting until a state instance tells of them.
+   */
+  addSchedulers(schedulers: ControlState['schedulers']): void {
+    this.add(
+      Object.entries(schedulers).map(([dataCentre, {instanceId}]) => ({
+        instanceId,
+        dataCentre: dataCentre as DataCentreId,
+        role: 'entry',
+      })),
+    );
+  }
+
   /** Keeps the links that are wanted, and drops the others' dialling. */
   link(): void {
     const nowMs = this.opts.clock.now();
--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -160,7 +160,12 @@
     network.onCall('reportTarget', (_from, {report}) =>
       Promise.resolve({accepted: this.scheduler.accept(report)}),
     );
-    store.onChange((_before, after) => this.follow(after));
+    store.onChange((before, after) => {
+      if (before.schedulers !== after.schedulers) {
+        this.node.roster.addSchedulers(after.schedulers);
+      }
+      this.follow(after);
+    });
     this.node.start();
   }
 
--- a/packages/daemon/src/entry_instance/scheduler_finder.ts
+++ b/packages/daemon/src/entry_instance/scheduler_finder.ts
@@ -7,6 +7,8 @@
 const SUCCESSOR_POLL_MS = 20;
 /** Longest wait for a successor of a lost scheduler, in milliseconds. */
 const MAX_SUCCESSOR_WAIT_MS = 1_200;
+/** Time after the start in which schedulers are likely to be granted, in ms. */
+const STARTUP_MS = 1_000;
 /** Time for a scheduler that was granted to ask its targets, in ms. */
 const TAKEOVER_MS = 500;
 
@@ -17,8 +19,11 @@
   /** Monotonic time at which this data centre's grant last changed. */
   private grantChangedMs = -Infinity;
   private grantToken = 0;
+  private readonly startedMs: number;
 
-  private constructor(private readonly opts: SchedulerFinderOptions) {}
+  private constructor(private readonly opts: SchedulerFinderOptions) {
+    this.startedMs = opts.clock.now();
+  }
 
   /**
    * Makes a finder.
@@ -77,9 +82,10 @@
 
   /** Whether a refusal comes of a scheduler that takes over just now. */
   isTakeover(reason: JobRefusal): boolean {
-    const sinceMs = this.opts.clock.now() - this.grantChangedMs;
+    const nowMs = this.opts.clock.now();
     return (
-      sinceMs < TAKEOVER_MS &&
+      (nowMs - this.grantChangedMs < TAKEOVER_MS ||
+        nowMs - this.startedMs < STARTUP_MS) &&
       (reason === 'notScheduler' || reason === 'noTargets')
     );
   }
