A scheduler that still hears of further targets doesn't refuse for lack of them

Ruled out: a directory of targets kept on disk (a target that left just before a loss of power could be given work again); leniency after every change of the scheduler (a handover knows all targets at once). Change: while a scheduler has begun less than one reporting period ago and heard of a new target in the last 300 ms, jobs are taken if they end before their callers leave. Test: "replays a restart" in admit_job.test.ts, red before.

--- a/packages/scheduling/src/admit_job/admit_job.test.ts
+++ b/packages/scheduling/src/admit_job/admit_job.test.ts
@@ -13,6 +13,7 @@
   usefulLeftMs: 234,
   callerLeftMs: 2_000,
   waitingJobs: 0,
+  isSettling: false,
 };
 
 describe('admitJob', () => {
@@ -37,6 +38,14 @@
     });
   });
 
+  it('replays a restart: what waits for targets still to report is not refused', () => {
+    const late = {...USUAL, endsMs: [60, 900], waitingJobs: 50};
+    expect(admitJob(late)).toMatchObject({quote: {latestMs: 0}});
+    expect(admitJob({...late, isSettling: true})).toMatchObject({
+      quote: {latestMs: 2_000},
+    });
+  });
+
   it('refuses when its caller will have left', () => {
     const admission = admitJob({...USUAL, callerLeftMs: 50});
     expect(admission.kind).toBe('refused');
@@ -58,6 +67,7 @@
       usefulLeftMs: fc.integer({min: -500, max: 9_000}),
       callerLeftMs: fc.integer({min: -500, max: 4_000}),
       waitingJobs: fc.nat(3_000),
+      isSettling: fc.boolean(),
     });
     fc.assert(
       fc.property(prospect, p => {
@@ -93,6 +103,7 @@
         usefulLeftMs: 2_250,
         callerLeftMs: 4_000,
         waitingJobs: 0,
+        isSettling: false,
       });
       if (admission.kind === 'admitted') {
         admitted++;
--- a/packages/scheduling/src/admit_job/admit_job.ts
+++ b/packages/scheduling/src/admit_job/admit_job.ts
@@ -26,7 +26,9 @@
  * that more urgent work takes meanwhile. Narrow jobs may use a part of their
  * slack only, so that wide ones, which wait for many places, get in too. While
  * little waits, a job that will be somewhat late may be taken as well: it goes
- * behind the others and takes only places that they leave.
+ * behind the others and takes only places that they leave. The same holds while
+ * a new scheduler has heard of few targets yet: the others report within a
+ * period, and refusals would lose jobs that they have room for.
  * @param prospect - Expected ends and the times left.
  * @returns Whether it is taken, else when to come back.
  * @throws Never.
@@ -51,9 +53,7 @@
     objectiveLeftMs < chainMs ? objectiveLeftMs : chainMs + share * slackMs,
     callerLeftMs,
   );
-  const isCalm = prospect.waitingJobs < CALM_SHARE * places;
-  const latestMs = isCalm ? Math.min(callerLeftMs, prospect.usefulLeftMs) : 0;
-  const quote = {endsMs, limitMs, latestMs};
+  const quote = {endsMs, limitMs, latestMs: latestEnd(prospect)};
   const lateMs = Math.max(...endsMs) - limitMs;
   if (prospect.waitingJobs >= MAX_WAITING_JOBS) {
     return refuse('tooMany', lateMs, NO_QUOTE);
@@ -63,6 +63,16 @@
     : {kind: 'admitted', quote};
 }
 
+/** Time until which an end is late but still of use, in milliseconds. */
+function latestEnd(prospect: JobProspect): number {
+  const {places, callerLeftMs, usefulLeftMs, waitingJobs} = prospect;
+  if (prospect.isSettling) {
+    return callerLeftMs;
+  }
+  const isCalm = waitingJobs < CALM_SHARE * places;
+  return isCalm ? Math.min(callerLeftMs, usefulLeftMs) : 0;
+}
+
 function refuse(
   reason: Extract<Admission, {kind: 'refused'}>['reason'],
   afterMs: number,
--- a/packages/scheduling/src/admit_job/job_prospect.ts
+++ b/packages/scheduling/src/admit_job/job_prospect.ts
@@ -18,4 +18,6 @@
   readonly callerLeftMs: number;
   /** Jobs that wait at this scheduler already. */
   readonly waitingJobs: number;
+  /** Whether targets are still to be heard of, after a change. */
+  readonly isSettling: boolean;
 }
--- a/packages/scheduling/src/scheduler/scheduler.test.ts
+++ b/packages/scheduling/src/scheduler/scheduler.test.ts
@@ -82,6 +82,7 @@
       timing: {
         maxLeaseMs: MAX_LEASE_MS,
         stopMs: STOP_MS,
+        reportMs: 0,
       },
       dataCentres: () => this.dataCentres,
       onFenced: () => undefined,
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -55,6 +55,8 @@
 const MAX_SAMPLES = 2;
 /** Objectives after which a job's end is too late to take it for. */
 const LATE_FACTOR = 1.5;
+/** Time without a new target after which all count as known, in ms. */
+const SETTLED_AFTER_MS = 300;
 /** Wait for a place from which other data centres are asked, in ms. */
 const ASK_OTHERS_MS = 5;
 const NO_QUOTE: JobQuote = {endsMs: [], limitMs: 0, latestMs: 0};
@@ -79,6 +81,9 @@
   private host: LaneHost | undefined;
   private ending = new AbortController();
   private sequence = 0;
+  private begunMs = -Infinity;
+  /** Monotonic time at which it last heard of a new target. */
+  private targetAddedMs = -Infinity;
   private isPumpDue = false;
 
   private constructor(private readonly opts: SchedulerOptions) {}
@@ -140,6 +145,7 @@
       fenced: () => this.fenced(token),
       changed: () => this.pumpSoon(),
     };
+    this.begunMs = this.opts.clock.now();
     this.opts.log.emit('schedulerBegun', {token});
     void this.watch(this.ending.signal);
   }
@@ -198,6 +204,7 @@
     }
     if (report.state !== 'gone') {
       this.lanes.set(report.targetId, TargetLane.create(this.host, report));
+      this.targetAddedMs = this.opts.clock.now();
       this.opts.log.emit('targetAdded', {target: report.targetId});
     }
     return true;
@@ -343,9 +350,18 @@
         nowMs,
       callerLeftMs: record.callerLeavesAtMs - nowMs,
       waitingJobs: this.waiting.length,
+      isSettling: this.isSettling(nowMs),
     });
   }
 
+  /** Whether it has begun just now and still hears of further targets. */
+  private isSettling(nowMs: number): boolean {
+    return (
+      nowMs - this.begunMs < this.opts.timing.reportMs &&
+      nowMs - this.targetAddedMs < SETTLED_AFTER_MS
+    );
+  }
+
   /** Marks tasks that run already, ordered by an earlier scheduler. */
   private claimOrphans(record: JobRecord): void {
     for (const lane of this.lanes.values()) {
--- a/packages/scheduling/src/scheduler/scheduler_timing.ts
+++ b/packages/scheduling/src/scheduler/scheduler_timing.ts
@@ -6,4 +6,6 @@
   readonly maxLeaseMs: number;
   /** Longest time that a target takes to stop a run. */
   readonly stopMs: number;
+  /** Period in which each target reports itself. */
+  readonly reportMs: number;
 }
--- a/packages/scheduling/src/scheduler/worst_load.test.ts
+++ b/packages/scheduling/src/scheduler/worst_load.test.ts
@@ -179,7 +179,7 @@
         port: this.port(),
         clock: this.clock,
         log: SilentLog.create(),
-        timing: {maxLeaseMs: SECOND_MS, stopMs: 50},
+        timing: {maxLeaseMs: SECOND_MS, stopMs: 50, reportMs: 0},
         dataCentres: () => DATA_CENTRES,
         onFenced: () => undefined,
         onOutcome: () => undefined,
