A job that waited for a scheduler to take over is not refused as late

By reading: a job waits up to 400 ms for a new scheduler, and its age counts against its objective; when that had passed, the job was refused as too late although all targets were free. The limit for late jobs (one and a half objectives) counted from the send as well. Change: the limit for late jobs counts from now on.

--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -344,10 +344,9 @@
       endsMs: expectedEnds(places, aheadMs, ownMs),
       busyAbove: busy / Math.max(1, room),
       objectiveLeftMs: record.objectiveAtMs - nowMs,
+      // From now on: a job may have waited for this scheduler to take over.
       usefulLeftMs:
-        record.receivedMs +
-        LATE_FACTOR * (record.objectiveAtMs - record.receivedMs) -
-        nowMs,
+        LATE_FACTOR * (record.objectiveAtMs - record.receivedMs + job.ageMs),
       callerLeftMs: record.callerLeavesAtMs - nowMs,
       waitingJobs: this.waiting.length,
       isSettling: this.isSettling(nowMs),
