--- a/packages/daemon/src/entry_instance/job_submitter.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.ts
@@ -4,7 +4,7 @@
   JobQuote,
   ScheduledJob,
 } from '@papayarun/protocol';
-import {PeerCallError} from '@papayarun/protocol';
+import {NO_QUOTE, PeerCallError} from '@papayarun/protocol';
 import type {SchedulerGrant} from '@papayarun/releases';
 import {shareOut} from '@papayarun/scheduling';
 import type {Holder} from './holder.js';
@@ -26,7 +26,6 @@
 /** When a caller may come back if no scheduler can be reached, in ms. */
 const NO_SCHEDULER_RETRY_MS = 1_000;
 
-const NO_QUOTE: JobQuote = {endsMs: [], limitMs: 0, latestMs: 0};
 const NO_SCHEDULER: Extract<JobOutcome, {kind: 'refused'}> = {
   kind: 'refused',
   reason: 'notScheduler',
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -77,6 +77,7 @@
 export * from './scheduling/job_outcome.js';
 export * from './scheduling/job_quote.js';
 export * from './scheduling/job_refusal.js';
+export * from './scheduling/no_quote.js';
 export * from './scheduling/placed_task.js';
 export * from './scheduling/run_time_sample.js';
 export * from './scheduling/scheduled_job.js';
--- a/packages/scheduling/src/admit_job/admit_job.ts
+++ b/packages/scheduling/src/admit_job/admit_job.ts
@@ -1,4 +1,5 @@
 import type {JobQuote} from '@papayarun/protocol';
+import {NO_QUOTE} from '@papayarun/protocol';
 import type {Admission} from './admission.js';
 import type {JobProspect} from './job_prospect.js';
 
@@ -14,7 +15,6 @@
 const MAX_BUSY_ABOVE = 0.8;
 /** Waiting jobs for each place from which late jobs are no longer taken. */
 const CALM_SHARE = 0.25;
-const NO_QUOTE: JobQuote = {endsMs: [], limitMs: 0, latestMs: 0};
 
 /**
  * Decides whether a job is taken or refused at once.
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -9,6 +9,7 @@
   TargetId,
   TargetReport,
 } from '@papayarun/protocol';
+import {NO_QUOTE} from '@papayarun/protocol';
 import type {JobRecord} from '../_lib/job_record.js';
 import type {LaneHost} from '../_lib/lane_host.js';
 import type {RunRecord} from '../_lib/run_record.js';
@@ -59,7 +60,6 @@
 const SETTLED_AFTER_MS = 300;
 /** Wait for a place from which other data centres are asked, in ms. */
 const ASK_OTHERS_MS = 5;
-const NO_QUOTE: JobQuote = {endsMs: [], limitMs: 0, latestMs: 0};
 /** When a caller may come back while a scheduler takes over, in ms. */
 const TAKEOVER_RETRY_MS = 500;
 
