The test of a job's tasks waits until its worker is known everywhere

Traced by printing the answer (red in one of three runs): "no worker of forecast is ready", told as not run. The set-up waited for the target of requests, not for the worker of jobs, which announces itself every 200 ms; instances are ready sooner since the log elects its leader early. Ruled out: a fault of the claim (nothing had started). Change: the set-up runs a job of one task at each instance first, then forgets its starts. All checks are unchanged; a status that is not 200 prints its text.

--- a/packages/daemon/src/instance/at_most_one_start.test.ts
+++ b/packages/daemon/src/instance/at_most_one_start.test.ts
@@ -52,6 +52,15 @@
       const results = await Promise.all(CENTRO.map(id => send(id)));
       return results.every(res => res.status === 200);
     });
+    await waitUntil('the worker is used', 8_000, async () => {
+      const results = await Promise.all(
+        [...CENTRO, 'serra-1'].map(async id =>
+          submitJob(id, await newId(), 1, 1),
+        ),
+      );
+      return results.every(res => res.status === 200);
+    });
+    worker.starts.clear();
   });
 
   afterEach(async () => {
@@ -252,7 +261,7 @@
       submitJob(instance, id, 30, 50);
     const results = await Promise.all([...CENTRO, 'serra-1'].map(submit));
     for (const res of results) {
-      expect(res.status).toBe(200);
+      expect(res.status, res.text).toBe(200);
       const {answers} = JSON.parse(res.text) as {answers: Array<{tag: number}>};
       expect(answers.map(answer => answer.tag)).toEqual(
         Array.from({length: 30}, (_, tag) => tag),
