A job's longest chain is worked out once; refusals of a scheduler are made in one place

The order of waiting jobs worked the chain out anew in each comparison of each round of placing, and admission once more, although it does not change; it stands in the job's record now. Three literals of the same refusal are one function.

--- a/packages/scheduling/src/_lib/compare_waiting.ts
+++ b/packages/scheduling/src/_lib/compare_waiting.ts
@@ -1,5 +1,4 @@
 import type {JobRecord} from './job_record.js';
-import {longestChain} from './longest_chain.js';
 
 /**
  * Order in which jobs get places: by priority, those that can still meet their
@@ -30,6 +29,5 @@
 }
 
 function isLate(record: JobRecord, nowMs: number): boolean {
-  const chainMs = longestChain(record.job.steps, record.expectedMs);
-  return nowMs + chainMs > record.objectiveAtMs;
+  return nowMs + record.chainMs > record.objectiveAtMs;
 }
--- a/packages/scheduling/src/_lib/create_job_record.ts
+++ b/packages/scheduling/src/_lib/create_job_record.ts
@@ -43,6 +43,7 @@
     objectiveAtMs: nowMs + objectiveMs - job.ageMs,
     callerLeavesAtMs: nowMs + job.leftMs,
     expectedMs,
+    chainMs: longestChain(job.steps, expectedMs),
     tasks: [],
     samples: [],
     hasRun: job.placed !== undefined,
--- a/packages/scheduling/src/_lib/job_record.ts
+++ b/packages/scheduling/src/_lib/job_record.ts
@@ -21,6 +21,8 @@
   readonly callerLeavesAtMs: number;
   /** Expected run time of a task, by step. */
   readonly expectedMs: readonly number[];
+  /** Expected time of its longest chain of steps, in milliseconds. */
+  readonly chainMs: number;
   readonly tasks: TaskRecord[];
   readonly samples: RunTimeSample[];
   /** Whether a run of one of its tasks has certainly begun. */
--- a/packages/scheduling/src/kept_places/kept_places.ts
+++ b/packages/scheduling/src/kept_places/kept_places.ts
@@ -10,7 +10,7 @@
 /**
  * Free places that a task leaves to work that is more urgent than it.
  *
- * @description Load pattern: a storm of the least urgent kind, whose tasks run
+ * @description Load pattern: a burst of the least urgent kind, whose tasks run
  * long. Each takes a place as soon as one is free, and the next urgent job
  * finds none for as long as they run. Kept places cost capacity, so none are
  * kept while there is enough for all.
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -3,6 +3,7 @@
   JobId,
   JobOutcome,
   JobQuote,
+  JobRefusal,
   KindId,
   RunTimeSample,
   ScheduledJob,
@@ -18,7 +19,6 @@
 import {hasWaitingTask} from '../_lib/has_waiting_task.js';
 import {compareWaiting} from '../_lib/compare_waiting.js';
 import {jobKey} from '../_lib/job_key.js';
-import {longestChain} from '../_lib/longest_chain.js';
 import {mayHaveRun} from '../_lib/may_have_run.js';
 import {placedTasks} from '../_lib/placed_tasks.js';
 import {placesFor} from '../_lib/places_for.js';
@@ -167,7 +167,7 @@
         record,
         mayHaveRun(record)
           ? {kind: 'handedOver', placed: placedTasks(record)}
-          : notScheduler(),
+          : refusal('notScheduler'),
       );
     }
     this.opts.log.emit('schedulerEnded', {token: host.token});
@@ -227,7 +227,7 @@
       return Promise.resolve(kept);
     }
     if (!this.host) {
-      return Promise.resolve(notScheduler());
+      return Promise.resolve(refusal('notScheduler'));
     }
     const nowMs = this.opts.clock.now();
     const {record, places, room} = this.prepare(job, nowMs);
@@ -242,7 +242,7 @@
       if (startsAfterMs(admission.quote, record) > ASK_OTHERS_MS) {
         // Not final: the entry shares it out, and comes back with a promise.
         record.isOver = true;
-        return Promise.resolve(wouldWait(admission.quote));
+        return Promise.resolve(refusal('wouldWait', admission.quote));
       }
     }
     const workMs = record.tasks.reduce(
@@ -340,7 +340,7 @@
     const busy = this.load.busyAbove(job.priority, nowMs);
     return admitJob({
       places: room,
-      chainMs: longestChain(job.steps, expectedMs),
+      chainMs: record.chainMs,
       endsMs: expectedEnds(places, aheadMs, ownMs),
       busyAbove: busy / Math.max(1, room),
       objectiveLeftMs: record.objectiveAtMs - nowMs,
@@ -627,12 +627,7 @@
     this.conclude(
       record,
       isRefusal
-        ? {
-            kind: 'refused',
-            reason: reason === 'cancelled' ? 'cancelled' : 'tooLate',
-            retryAfterMs: TAKEOVER_RETRY_MS,
-            quote: NO_QUOTE,
-          }
+        ? refusal(reason === 'cancelled' ? 'cancelled' : 'tooLate')
         : {kind: 'failed', reason},
     );
   }
@@ -822,22 +817,8 @@
   );
 }
 
-function notScheduler(): JobOutcome {
-  return {
-    kind: 'refused',
-    reason: 'notScheduler',
-    retryAfterMs: TAKEOVER_RETRY_MS,
-    quote: NO_QUOTE,
-  };
-}
-
-function wouldWait(quote: JobQuote): JobOutcome {
-  return {
-    kind: 'refused',
-    reason: 'wouldWait',
-    retryAfterMs: TAKEOVER_RETRY_MS,
-    quote,
-  };
+function refusal(reason: JobRefusal, quote = NO_QUOTE): JobOutcome {
+  return {kind: 'refused', reason, retryAfterMs: TAKEOVER_RETRY_MS, quote};
 }
 
 /** Time until the last task of a quote starts, in milliseconds. */
