--- a/packages/daemon/src/cluster_node/cluster_node.ts
+++ b/packages/daemon/src/cluster_node/cluster_node.ts
@@ -3,6 +3,7 @@
 import type {BootId} from '@papayarun/protocol';
 import type {Replica} from '@papayarun/replication';
 import {ControlClient} from '../control_client/control_client.js';
+import {LoopLagMeter} from '../loop_lag/loop_lag_meter.js';
 import type {ClusterNodeOptions} from './cluster_node_options.js';
 import {PeerDiscovery} from './peer_discovery.js';
 
@@ -22,8 +23,12 @@
     readonly network: WsPeerNetwork,
     readonly membership: Membership,
     readonly discovery: PeerDiscovery,
-  ) {}
+  ) {
+    this.loopLag = LoopLagMeter.create(opts.clock, opts.log);
+  }
 
+  /** Lag of the event loop of this process. */
+  readonly loopLag: LoopLagMeter;
   /** Replica of the log on state instances; to be set before `start`. */
   replica: Replica | undefined;
   private cachedControlClient: ControlClient | undefined;
@@ -73,7 +78,17 @@
     return this.cachedControlClient;
   }
 
+  /** Values of the gauges that both kinds of instances export. */
+  gauges(): Record<string, number> {
+    return {
+      event_loop_lag_ms: this.loopLag.lagMs,
+      peer_links: this.network.connectedPeers().length,
+      unsent_peer_bytes: this.network.unsentBytes(),
+    };
+  }
+
   start(): void {
+    this.loopLag.start();
     void this.control;
     this.network.start();
     this.membership.start();
@@ -83,6 +98,7 @@
   }
 
   async stop(): Promise<void> {
+    this.loopLag.stop();
     this.discovery.stop();
     this.membership.stop();
     await this.replica?.stop();
--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -82,6 +82,7 @@
   /** Values of the gauges to export as metrics. */
   gauges(): Record<string, number> {
     return {
+      ...this.node.gauges(),
       scheduler_token: this.scheduler.token ?? 0,
       waiting_jobs: this.scheduler.waitingJobs,
       running_tasks: this.scheduler.runningTasks,
--- a/packages/daemon/src/metrics/metrics.ts
+++ b/packages/daemon/src/metrics/metrics.ts
@@ -11,6 +11,7 @@
   0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30,
 ];
 const MS_PER_SECOND = 1000;
+const MICROSECONDS_PER_SECOND = 1_000_000;
 
 /** Returns the current gauge values by name; called at each scrape. */
 export type GaugeSource = () => Readonly<Record<string, number>>;
@@ -25,7 +26,11 @@
   private readonly peerMessages: Counter<'type'>;
   private readonly peerBytes: Counter<'type'>;
 
+  private readonly targetCalls: Counter<'call' | 'result'>;
+  private readonly targetBytes: Counter<'call' | 'direction'>;
+  private readonly targetConnections: Counter;
   private readonly jobs: Counter<'kind' | 'verdict'>;
+  private readonly processorTime: Gauge;
   private readonly jobDuration: Histogram<'kind' | 'verdict'>;
 
   private constructor(hasProcessMetrics: boolean) {
@@ -55,6 +60,23 @@
       labelNames: ['type'],
       registers,
     });
+    this.targetCalls = new Counter({
+      name: 'papayarun_target_calls_total',
+      help: 'Calls to targets by kind and result.',
+      labelNames: ['call', 'result'],
+      registers,
+    });
+    this.targetBytes = new Counter({
+      name: 'papayarun_target_bytes_total',
+      help: 'Bytes of the bodies of calls to targets, by kind and direction.',
+      labelNames: ['call', 'direction'],
+      registers,
+    });
+    this.targetConnections = new Counter({
+      name: 'papayarun_target_connections_total',
+      help: 'Connections opened to targets.',
+      registers,
+    });
     this.jobs = new Counter({
       name: 'papayarun_scheduled_jobs_total',
       help: 'Jobs at this scheduler by kind and verdict.',
@@ -68,6 +90,11 @@
       buckets: BUCKETS_SECONDS,
       registers,
     });
+    this.processorTime = new Gauge({
+      name: 'papayarun_processor_seconds',
+      help: 'Processor time that the process has used.',
+      registers,
+    });
     if (hasProcessMetrics) {
       collectDefaultMetrics({register: this.registry});
     }
@@ -127,6 +154,30 @@
     this.peerBytes.inc({type}, bytes);
   }
 
+  /**
+   * Counts a call to a target.
+   *
+   * @param call - Name of the call.
+   * @param result - How it ended.
+   * @param sentBytes - Bytes of the request body.
+   * @param receivedBytes - Bytes of the response body.
+   */
+  recordTargetCall(
+    call: string,
+    result: string,
+    sentBytes: number,
+    receivedBytes: number,
+  ): void {
+    this.targetCalls.inc({call, result});
+    this.targetBytes.inc({call, direction: 'sent'}, sentBytes);
+    this.targetBytes.inc({call, direction: 'received'}, receivedBytes);
+  }
+
+  /** Counts a connection that was opened to a target. */
+  countTargetConnection(): void {
+    this.targetConnections.inc();
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   async render(): Promise<{
     readonly contentType: string;
@@ -135,6 +186,8 @@
     for (const readGauges of this.gaugeReaders) {
       readGauges();
     }
+    const {user, system} = process.cpuUsage();
+    this.processorTime.set((user + system) / MICROSECONDS_PER_SECOND);
     return {
       contentType: this.registry.contentType,
       text: await this.registry.metrics(),
--- a/packages/daemon/src/state_instance/state_instance.ts
+++ b/packages/daemon/src/state_instance/state_instance.ts
@@ -128,6 +128,7 @@
   /** Values of the gauges to export as metrics. */
   gauges(): Record<string, number> {
     return {
+      ...this.node.gauges(),
       leader: Number(this.replica.isLeader),
       log_term: this.replica.log.term,
       commit_index: this.replica.log.commitIndex,
--- a/packages/membership/src/ws_peer_network/peer_link.ts
+++ b/packages/membership/src/ws_peer_network/peer_link.ts
@@ -138,6 +138,11 @@
     return this.isOpen() && this.socket.bufferedAmount <= this.maxBufferedBytes;
   }
 
+  /** Bytes that wait to be sent. */
+  get unsentBytes(): number {
+    return this.socket.bufferedAmount;
+  }
+
   close(): void {
     this.socket.terminate();
   }
--- a/packages/membership/src/ws_peer_network/ws_peer_network.ts
+++ b/packages/membership/src/ws_peer_network/ws_peer_network.ts
@@ -182,6 +182,15 @@
     return [...this.links.keys()];
   }
 
+  /** Bytes that wait to be sent on all links. */
+  unsentBytes(): number {
+    let bytes = 0;
+    for (const link of this.links.values()) {
+      bytes += link.unsentBytes;
+    }
+    return bytes;
+  }
+
   private async dialLoop(
     peer: PeerAddress,
     stopSignal: AbortSignal,
--- a/packages/protocol/src/event_log/event_catalogue.ts
+++ b/packages/protocol/src/event_log/event_catalogue.ts
@@ -44,6 +44,11 @@
     level: 'error',
     text: 'unexpected internal error',
   },
+  loopLate: {
+    number: 1009,
+    level: 'warn',
+    text: 'event loop runs late; the process has too little processor time',
+  },
   linkUp: {
     number: 2001,
     level: 'info',
