--- a/packages/daemon/src/cluster_node/cluster_node.ts
+++ b/packages/daemon/src/cluster_node/cluster_node.ts
@@ -154,6 +154,7 @@
       stateIndex: store.index,
       currentAgeMs: Number.MAX_SAFE_INTEGER,
       digest: EMPTY_DIGEST,
+      maxTargets: opts.maxTargets,
     }),
     onHeartbeat: (from, heartbeat) =>
       void node().control.pullMissingState(from, heartbeat),
--- a/packages/daemon/src/cluster_node/cluster_node_options.ts
+++ b/packages/daemon/src/cluster_node/cluster_node_options.ts
@@ -20,6 +20,8 @@
   readonly metrics: Metrics;
   readonly store: ControlStore;
   readonly state: () => Heartbeat['state'];
+  /** Number of targets that the instance can schedule. */
+  readonly maxTargets: number;
   /** Whether this instance keeps a link to a peer. */
   readonly shouldLink: (peer: KnownInstance, state: ControlState) => boolean;
   /** Called when the link to a peer is lost. */
--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -1,53 +1,53 @@
 import type {
   Heartbeat,
   InstanceId,
-  JobId,
   JobOutcome,
-  KnownInstance,
   ScheduledJob,
+  ShardId,
 } from '@papayarun/protocol';
+import {dataCentreOfShard, shardIdOf} from '@papayarun/protocol';
 import type {ControlState} from '@papayarun/releases';
 import {ControlStore} from '@papayarun/releases';
-import {Scheduler} from '@papayarun/scheduling';
 import {ClusterNode} from '../cluster_node/cluster_node.js';
 import {QueueTable} from '../work_queue/queue_table.js';
 import type {WorkQueue} from '../work_queue/work_queue.js';
 import type {EntryInstanceOptions} from './entry_instance_options.js';
 import {JobSubmitter} from './job_submitter.js';
+import {LinkPolicy} from './link_policy.js';
+import {LocalSchedulers} from './local_schedulers.js';
 import {SchedulerFinder} from './scheduler_finder.js';
+import {StaleTargetRemover} from './stale_target_remover.js';
 
 /** Timeout of a `listTargets` call to a state instance, in milliseconds. */
 const LIST_TARGETS_TIMEOUT_MS = 1_000;
 
 /**
- * Instance that accepts jobs from callers, and schedules the targets of its
- * data centre while it holds the scheduler grant.
+ * Instance that accepts jobs from callers, and schedules the targets of those
+ * shards of its data centre that are granted to it.
  */
 export class EntryInstance {
   private readonly store = ControlStore.create();
-  private readonly scheduler: Scheduler;
-  /** Entry instances that wait for the outcome of each job scheduled here. */
-  private readonly requestersByJob = new Map<JobId, Set<InstanceId>>();
+  private readonly schedulers: LocalSchedulers;
   private state: Heartbeat['state'] = 'starting';
   private node!: ClusterNode;
   private finder!: SchedulerFinder;
   private submitter!: JobSubmitter;
+  private staleTargets!: StaleTargetRemover;
+  private readonly linkPolicy: LinkPolicy;
   private queues: QueueTable | undefined;
   private configurationRevision: number | undefined;
   private isConfigurationUpdateQueued = false;
-  private fencedToken = 0;
 
   private constructor(private readonly opts: EntryInstanceOptions) {
-    const {metrics} = opts;
-    this.scheduler = Scheduler.create({
+    const {instanceId, dataCentre} = opts.cfg;
+    this.schedulers = LocalSchedulers.create({
       ...opts,
-      dataCentreCount: () => Object.keys(this.store.state.schedulers).length,
-      onFenced: token => (this.fencedToken = token),
-      onOutcome: (job, outcome, tookMs) => {
-        const verdict = 'reason' in outcome ? outcome.reason : outcome.kind;
-        metrics.recordJob(job.kind, verdict, tookMs);
-      },
+      self: instanceId,
+      dataCentre,
+      store: this.store,
+      loopLagMs: () => this.node.loopLag.lagMs,
     });
+    this.linkPolicy = LinkPolicy.create(instanceId, dataCentre);
   }
 
   /**
@@ -74,19 +74,16 @@
     return this.queues !== undefined;
   }
 
-  /** Number of jobs on this scheduler with tasks that wait for a target. */
+  /** Number of jobs scheduled here with tasks that wait for a target. */
   get waitingJobs(): number {
-    return this.scheduler.waitingJobs;
+    return this.schedulers.waitingJobs;
   }
 
   /** Values of the gauges to export as metrics. */
   gauges(): Record<string, number> {
     return {
       ...this.node.gauges(),
-      scheduler_token: this.scheduler.token ?? 0,
-      waiting_jobs: this.scheduler.waitingJobs,
-      running_tasks: this.scheduler.runningTasks,
-      targets: this.scheduler.targets,
+      ...this.schedulers.gauges(),
       state_index: this.store.index,
       configuration_revision: this.configurationRevision ?? 0,
     };
@@ -104,8 +101,8 @@
   }
 
   /**
-   * Runs a job on the scheduler of this data centre, or shares it out over
-   * other data centres if the local scheduler refuses it or it would wait there.
+   * Runs a job on a scheduler of this data centre, or shares it out over
+   * several ones if the first refuses it or it would wait there.
    *
    * @param job - The job.
    * @param signal - Aborts when the caller disconnects.
@@ -121,7 +118,7 @@
   }
 
   /**
-   * Starts to drain: the grant moves to another entry instance, and callers are
+   * Starts to drain: the grants move to other entry instances, and callers are
    * sent to other instances.
    */
   drain(): void {
@@ -131,7 +128,8 @@
   }
 
   async stop(): Promise<void> {
-    this.scheduler.end();
+    this.staleTargets.stop();
+    this.schedulers.end();
     await this.node.stop();
   }
 
@@ -141,9 +139,11 @@
       ...opts,
       store,
       state: () => this.state,
-      shouldLink: (peer, state) => this.shouldLink(peer, state),
-      onLinkDown: peer => this.removeRequesterFromAllJobs(peer),
-      onIncarnationChanged: () => this.applyGrant(store.state),
+      maxTargets: opts.maxTargets,
+      shouldLink: (peer, state) =>
+        this.linkPolicy.shouldLink(peer, state.schedulers),
+      onLinkDown: peer => this.schedulers.cancelAllOf(peer),
+      onIncarnationChanged: () => this.applyGrants(store.state),
     });
     const {membership, network} = this.node;
     this.finder = SchedulerFinder.create({
@@ -151,21 +151,16 @@
       store,
       network,
       membership,
-      ownToken: () => this.scheduler.token,
+      ownToken: shard => this.schedulers.token(shard),
     });
     this.submitter = this.createSubmitter(opts.cfg.instanceId);
-    network.onCall('scheduleJob', async (from, {job}) => ({
-      outcome: await this.scheduleFor(from, job),
-    }));
-    network.onCall('quoteJob', (_from, {job}) =>
-      Promise.resolve({quote: this.scheduler.quote(job)}),
-    );
-    network.onNotice('cancelJob', (from, {jobId}) =>
-      this.removeRequester(jobId, from),
-    );
-    network.onCall('reportTarget', (_from, {report}) =>
-      Promise.resolve({accepted: this.scheduler.acceptReport(report)}),
-    );
+    this.staleTargets = StaleTargetRemover.create({
+      clock: opts.clock,
+      log: opts.log,
+      schedulers: this.schedulers,
+      control: () => this.node.control,
+    });
+    this.serveCalls();
     store.onChange((before, after) => {
       if (before.schedulers !== after.schedulers) {
         this.node.discovery.recordSchedulers(after.schedulers);
@@ -173,6 +168,27 @@
       this.applyControlState(after);
     });
     this.node.start();
+    this.staleTargets.start();
+  }
+
+  /** Serves the calls of other instances to the schedulers of this one. */
+  private serveCalls(): void {
+    const {network} = this.node;
+    const firstShard = shardIdOf(this.opts.cfg.dataCentre, 0);
+    network.onCall('scheduleJob', async (from, {job, shard = firstShard}) => ({
+      outcome: await this.schedulers.submit(from, shard, job),
+    }));
+    network.onCall('quoteJob', (_from, {job, shard = firstShard}) =>
+      Promise.resolve({quote: this.schedulers.quote(shard, job)}),
+    );
+    network.onNotice('cancelJob', (from, {jobId}) =>
+      this.schedulers.cancel(from, jobId),
+    );
+    network.onCall('reportTarget', (_from, {report, shard = firstShard}) =>
+      Promise.resolve({
+        accepted: this.schedulers.acceptReport(shard, report),
+      }),
+    );
   }
 
   private createSubmitter(self: InstanceId): JobSubmitter {
@@ -183,23 +199,14 @@
       network: this.node.network,
       clock,
       log,
-      schedule: job => this.scheduleFor(self, job),
-      cancel: jobId => this.removeRequester(jobId, self),
+      schedule: (shard, job) => this.schedulers.submit(self, shard, job),
+      quote: (shard, job) => this.schedulers.quote(shard, job),
+      cancel: jobId => this.schedulers.cancel(self, jobId),
       recordRunTime: (kind, sample) =>
-        this.scheduler.recordRunTime(kind, sample),
+        this.schedulers.recordRunTime(kind, sample),
     });
   }
 
-  private shouldLink(peer: KnownInstance, state: ControlState): boolean {
-    return (
-      peer.role === 'state' ||
-      peer.dataCentre === this.opts.cfg.dataCentre ||
-      Object.values(state.schedulers).some(
-        grant => grant.instanceId === peer.instanceId,
-      )
-    );
-  }
-
   private applyControlState(state: ControlState): void {
     if (!this.isConfigurationUpdateQueued) {
       this.isConfigurationUpdateQueued = true;
@@ -207,7 +214,7 @@
       // has to take effect.
       queueMicrotask(() => this.applyConfiguration());
     }
-    this.applyGrant(state);
+    this.applyGrants(state);
   }
 
   private applyConfiguration(): void {
@@ -233,36 +240,32 @@
     }
   }
 
-  /** Starts or stops scheduling according to the current grant. */
-  private applyGrant(state: ControlState): void {
-    const {cfg} = this.opts;
-    const grant = state.schedulers[cfg.dataCentre];
-    if (grant) {
-      this.finder.recordGrant(grant.token);
-    }
-    const isHeldHere =
-      grant?.instanceId === cfg.instanceId &&
-      grant.boot === this.node.membership.boot &&
-      grant.token > this.fencedToken;
-    if (!isHeldHere) {
-      this.scheduler.end();
-      return;
-    }
-    if (this.scheduler.token !== grant.token) {
-      this.scheduler.begin(grant.token);
+  /** Starts or stops scheduling according to the current grants. */
+  private applyGrants(state: ControlState): void {
+    const {dataCentre} = this.opts.cfg;
+    const tokens = Object.entries(state.schedulers)
+      .filter(([shard]) => dataCentreOfShard(shard as ShardId) === dataCentre)
+      .map(([, grant]) => grant.token);
+    this.finder.recordGrants(tokens);
+    for (const shard of this.schedulers.applyGrants(
+      this.node.membership.boot,
+    )) {
       for (const id of this.node.discovery.stateInstances()) {
-        void this.fetchTargets(id);
+        void this.fetchTargets(id, shard);
       }
     }
   }
 
-  private async fetchTargets(from: InstanceId): Promise<void> {
+  private async fetchTargets(from: InstanceId, shard: ShardId): Promise<void> {
     const {dataCentre} = this.opts.cfg;
+    const req = {dataCentre, shard};
     const opts = {timeoutMs: LIST_TARGETS_TIMEOUT_MS};
     const {network} = this.node;
     try {
-      const res = await network.call(from, 'listTargets', {dataCentre}, opts);
-      res.reports.forEach(report => this.scheduler.acceptReport(report));
+      const res = await network.call(from, 'listTargets', req, opts);
+      for (const report of res.reports) {
+        this.schedulers.acceptReport(shard, report);
+      }
     } catch (err) {
       this.opts.log.emit('targetsNotListed', {
         from,
@@ -270,32 +273,4 @@
       });
     }
   }
-
-  private async scheduleFor(
-    requester: InstanceId,
-    job: ScheduledJob,
-  ): Promise<JobOutcome> {
-    const requesters = this.requestersByJob.get(job.id) ?? new Set();
-    requesters.add(requester);
-    this.requestersByJob.set(job.id, requesters);
-    const outcome = await this.scheduler.submit(job);
-    this.requestersByJob.delete(job.id);
-    return outcome;
-  }
-
-  private removeRequester(jobId: JobId, requester: InstanceId): void {
-    const requesters = this.requestersByJob.get(jobId);
-    requesters?.delete(requester);
-    if (requesters?.size === 0) {
-      this.scheduler.cancel(jobId);
-    }
-  }
-
-  private removeRequesterFromAllJobs(peer: InstanceId): void {
-    for (const jobId of [...this.requestersByJob.keys()]) {
-      if (this.requestersByJob.get(jobId)?.has(peer)) {
-        this.removeRequester(jobId, peer);
-      }
-    }
-  }
 }
--- a/packages/daemon/src/entry_instance/entry_instance_options.ts
+++ b/packages/daemon/src/entry_instance/entry_instance_options.ts
@@ -11,6 +11,8 @@
   readonly cfg: NodeSettings;
   readonly targetClient: TargetPort;
   readonly timing: SchedulerTiming;
+  /** Number of targets that the instance can schedule. */
+  readonly maxTargets: number;
   /** Extracts the queues from an accepted configuration. */
   readonly decodeQueues: (content: unknown) => readonly WorkQueue[];
   readonly clock: Clock;
--- a/packages/daemon/src/entry_instance/job_submitter.test.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.test.ts
@@ -8,13 +8,14 @@
   PeerNetwork,
   ScheduledJob,
   ServiceId,
+  ShardId,
 } from '@papayarun/protocol';
 import {PeerCallError} from '@papayarun/protocol';
 import {SilentLog, VirtualClock} from '@papayarun/test_kit';
 import {describe, expect, it} from 'vitest';
-import type {DataCentreScheduler} from './data_centre_scheduler.js';
 import {JobSubmitter} from './job_submitter.js';
 import type {SchedulerFinder} from './scheduler_finder.js';
+import type {ShardScheduler} from './shard_scheduler.js';
 
 const SELF = 'centro-1:7720' as InstanceId;
 const REMOTE = 'serra-1:7720' as InstanceId;
@@ -24,13 +25,17 @@
 function schedulerOf(
   dataCentre: string,
   instanceId: InstanceId,
-): DataCentreScheduler {
+): ShardScheduler {
   const grant = {
     instanceId,
     boot: 'b',
     token: 1,
-  } as unknown as DataCentreScheduler['grant'];
-  return {dataCentre: dataCentre as DataCentreId, grant};
+  } as unknown as ShardScheduler['grant'];
+  return {
+    shard: dataCentre as ShardId,
+    dataCentre: dataCentre as DataCentreId,
+    grant,
+  };
 }
 
 function quoteOf(...endsMs: number[]): JobQuote {
@@ -83,7 +88,8 @@
     network: this.network(),
     clock: this.clock,
     log: SilentLog.create(),
-    schedule: job => {
+    quote: () => quoteOf(),
+    schedule: (_shard, job) => {
       this.localJobs.push(job);
       return this.scheduleLocally(job);
     },
@@ -95,7 +101,7 @@
     const localScheduler = schedulerOf('centro', SELF);
     const finder: Partial<SchedulerFinder> = {
       reachable: () => [localScheduler, schedulerOf('serra', REMOTE)],
-      localSchedulerIn: () => localScheduler,
+      localSchedulersIn: () => [localScheduler],
       isTakeoverRefusal: () => false,
       recordGrantChange: () => undefined,
       waitForSuccessor: () => Promise.resolve(undefined),
--- a/packages/daemon/src/entry_instance/job_submitter.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.ts
@@ -2,13 +2,15 @@
   InstanceId,
   JobOutcome,
   JobQuote,
+  JobRefusal,
   ScheduledJob,
+  ShardId,
 } from '@papayarun/protocol';
 import {EMPTY_QUOTE, PeerCallError} from '@papayarun/protocol';
-import type {SchedulerGrant} from '@papayarun/releases';
 import {splitJob} from '@papayarun/scheduling';
-import type {DataCentreScheduler} from './data_centre_scheduler.js';
 import type {JobSubmitterOptions} from './job_submitter_options.js';
+import {selectQuoted} from './select_quoted.js';
+import type {ShardScheduler} from './shard_scheduler.js';
 
 /**
  * Time beyond the deadline of the caller in which a scheduler may still
@@ -24,7 +26,7 @@
  */
 const MAX_TAKEOVER_WAIT_MS = 400;
 /**
- * Timeout of a quote from another data centre, in milliseconds. It spans many
+ * Timeout of a quote from another scheduler, in milliseconds. It spans many
  * round trips.
  */
 const QUOTE_TIMEOUT_MS = 20;
@@ -48,8 +50,8 @@
 } as const;
 
 /**
- * Submits jobs to schedulers, and shares a job out over data centres when the
- * local scheduler refuses it or would make it wait.
+ * Submits jobs to schedulers, and shares a job out over several shards when the
+ * first scheduler refuses it or would make it wait.
  */
 export class JobSubmitter {
   /** Monotonic time until which a scheduler isn't asked for another quote. */
@@ -70,74 +72,92 @@
   }
 
   /**
-   * Runs a job on the scheduler of this data centre, or shares it out over all
-   * reachable schedulers if the local one refuses it.
+   * Runs a job on a scheduler of this data centre, or shares it out over several
+   * schedulers if that one refuses it.
    *
    * @param job - The job.
    * @param signal - Aborts when the caller disconnects.
    * @returns The outcome; only a refusal guarantees that no task has run.
    */
   async submit(job: ScheduledJob, signal: AbortSignal): Promise<JobOutcome> {
+    const startedMs = this.opts.clock.now();
+    const {scheduler, outcome} = await this.submitToFirst(
+      job,
+      startedMs,
+      signal,
+    );
+    if (outcome.kind !== 'refused') {
+      return outcome;
+    }
+    const others = selectQuoted(this.opts.finder.reachable(), scheduler);
+    const currentJob = this.withElapsedTime(job, startedMs);
+    const quotes = [
+      ...(scheduler ? [outcome.quote] : []),
+      ...(await Promise.all(
+        others.map(other => this.requestQuote(other, currentJob)),
+      )),
+    ];
+    const parts = splitJob(this.withElapsedTime(job, startedMs), quotes);
+    return parts && !signal.aborted
+      ? this.submitParts(
+          scheduler ? [scheduler, ...others] : others,
+          parts,
+          quotes,
+          signal,
+        )
+      : outcome;
+  }
+
+  /**
+   * Submits a job to a scheduler of this data centre, the nearest first. While
+   * schedulers take over, it waits for one that has targets.
+   */
+  private async submitToFirst(
+    job: ScheduledJob,
+    startedMs: number,
+    signal: AbortSignal,
+  ): Promise<{
+    readonly scheduler: ShardScheduler | undefined;
+    readonly outcome: JobOutcome;
+  }> {
     const {clock, finder} = this.opts;
-    const startedMs = clock.now();
-    let schedulers = finder.reachable();
+    const tried = new Set<ShardId>();
+    let scheduler: ShardScheduler | undefined;
     let refusal = NO_SCHEDULER_REFUSAL;
     for (;;) {
-      const localScheduler = finder.localSchedulerIn(schedulers);
-      if (localScheduler) {
+      const next = finder
+        .localSchedulersIn(finder.reachable())
+        .find(({shard}) => !tried.has(shard));
+      if (next) {
+        scheduler = next;
         const currentJob = this.withElapsedTime(job, startedMs);
-        const outcome = await this.submitWithHandover(
-          localScheduler,
-          currentJob,
-          signal,
-        );
-        if (outcome.kind !== 'refused') {
-          return outcome;
+        const outcome = await this.submitWithHandover(next, currentJob, signal);
+        if (outcome.kind !== 'refused' || !hasNoTargets(outcome.reason)) {
+          return {scheduler, outcome};
         }
         refusal = outcome;
+        tried.add(next.shard);
         if (outcome.reason === 'notScheduler') {
           // The grant has changed, but the change isn't applied here yet.
           finder.recordGrantChange();
         }
+        continue;
       }
       const waitedMs = clock.now() - startedMs;
       if (
         !finder.isTakeoverRefusal(refusal.reason) ||
-        waitedMs > MAX_TAKEOVER_WAIT_MS
+        waitedMs > MAX_TAKEOVER_WAIT_MS ||
+        signal.aborted
       ) {
-        break;
+        return {scheduler, outcome: refusal};
       }
       await clock.sleep(TAKEOVER_RETRY_DELAY_MS, signal);
-      schedulers = finder.reachable();
+      tried.clear();
     }
-    const localScheduler = finder.localSchedulerIn(schedulers);
-    const remoteSchedulers = schedulers.filter(
-      scheduler => scheduler !== localScheduler,
-    );
-    const currentJob = this.withElapsedTime(job, startedMs);
-    const quotes = [
-      ...(localScheduler ? [refusal.quote] : []),
-      ...(await Promise.all(
-        remoteSchedulers.map(scheduler =>
-          this.requestQuote(scheduler, currentJob),
-        ),
-      )),
-    ];
-    const parts = splitJob(this.withElapsedTime(job, startedMs), quotes);
-    return parts && !signal.aborted
-      ? this.submitParts(
-          localScheduler
-            ? [localScheduler, ...remoteSchedulers]
-            : remoteSchedulers,
-          parts,
-          quotes,
-          signal,
-        )
-      : refusal;
   }
 
   private async submitTo(
-    grant: SchedulerGrant,
+    {shard, grant}: ShardScheduler,
     job: ScheduledJob,
     signal: AbortSignal,
   ): Promise<JobOutcome> {
@@ -146,14 +166,15 @@
     if (instanceId === self) {
       const cancel = (): void => this.opts.cancel(job.id);
       signal.addEventListener('abort', cancel, {once: true});
-      const outcome = await this.opts.schedule(job);
+      const outcome = await this.opts.schedule(shard, job);
       signal.removeEventListener('abort', cancel);
       return outcome;
     }
     const timeoutMs = Math.max(1, job.leftMs) + RESPONSE_GRACE_MS;
     try {
       const opts = {timeoutMs, signal};
-      const res = await network.call(instanceId, 'scheduleJob', {job}, opts);
+      const req = {job, shard};
+      const res = await network.call(instanceId, 'scheduleJob', req, opts);
       if (res.outcome.kind === 'completed') {
         // This instance may become the next scheduler.
         res.outcome.samples.forEach(s => this.opts.recordRunTime(job.kind, s));
@@ -166,6 +187,7 @@
       }
       this.opts.log.emit('schedulerLost', {
         jobId: job.id,
+        shard,
         scheduler: instanceId,
         err: (err as Error).message,
       });
@@ -190,17 +212,20 @@
    * it doesn't respond or recently failed to.
    */
   private async requestQuote(
-    scheduler: DataCentreScheduler,
+    {shard, grant: {instanceId}}: ShardScheduler,
     job: ScheduledJob,
   ): Promise<JobQuote> {
-    const {clock, log, network} = this.opts;
-    const {instanceId} = scheduler.grant;
+    const {clock, log, network, self} = this.opts;
+    if (instanceId === self) {
+      return this.opts.quote(shard, job);
+    }
     if (clock.now() < (this.quoteBackoffUntilMs.get(instanceId) ?? 0)) {
       return EMPTY_QUOTE;
     }
+    const req = {job: {...job, spec: ''}, shard};
     const opts = {timeoutMs: QUOTE_TIMEOUT_MS};
     try {
-      const res = await network.call(instanceId, 'quoteJob', {job}, opts);
+      const res = await network.call(instanceId, 'quoteJob', req, opts);
       this.quoteBackoffUntilMs.delete(instanceId);
       return res.quote;
     } catch (err) {
@@ -219,7 +244,7 @@
 
   /** Runs the parts of a job; a part that doesn't complete aborts the others. */
   private async submitParts(
-    schedulers: readonly DataCentreScheduler[],
+    schedulers: readonly ShardScheduler[],
     parts: ReadonlyArray<ScheduledJob | undefined>,
     quotes: readonly JobQuote[],
     signal: AbortSignal,
@@ -230,7 +255,7 @@
     this.opts.log.emit('jobSplit', {
       jobId: parts.find(part => part)?.id,
       tasks: parts.map(part => part?.steps[0]?.count ?? 0),
-      schedulers: schedulers.map(scheduler => scheduler.grant.instanceId),
+      schedulers: schedulers.map(({shard}) => shard),
       lastEndsMs: quotes.map(({endsMs}) => Math.round(Math.max(0, ...endsMs))),
       limitsMs: quotes.map(({limitMs}) => Math.round(limitMs)),
     });
@@ -267,7 +292,7 @@
 
   /** Runs a job on a scheduler, and on its successors if it hands the job over. */
   private async submitWithHandover(
-    scheduler: DataCentreScheduler,
+    scheduler: ShardScheduler,
     job: ScheduledJob,
     signal: AbortSignal,
   ): Promise<Exclude<JobOutcome, {kind: 'handedOver'}>> {
@@ -276,7 +301,11 @@
     let placed = job.placed;
     for (;;) {
       const currentJob = {...this.withElapsedTime(job, startedMs), placed};
-      const outcome = await this.submitTo(grant, currentJob, signal);
+      const outcome = await this.submitTo(
+        {...scheduler, grant},
+        currentJob,
+        signal,
+      );
       if (outcome.kind !== 'handedOver') {
         return placed && outcome.kind === 'refused'
           ? SCHEDULER_LOST_FAILURE
@@ -284,7 +313,7 @@
       }
       placed = outcome.placed;
       const successor = await this.opts.finder.waitForSuccessor(
-        scheduler.dataCentre,
+        scheduler.shard,
         grant,
         signal,
       );
@@ -301,3 +330,8 @@
     }
   }
 }
+
+/** Whether a scheduler refused a job since it has nothing to run it on. */
+function hasNoTargets(reason: JobRefusal): boolean {
+  return reason === 'notScheduler' || reason === 'noTargets';
+}
--- a/packages/daemon/src/entry_instance/job_submitter_options.ts
+++ b/packages/daemon/src/entry_instance/job_submitter_options.ts
@@ -4,10 +4,12 @@
   InstanceId,
   JobId,
   JobOutcome,
+  JobQuote,
   KindId,
   PeerNetwork,
   RunTimeSample,
   ScheduledJob,
+  ShardId,
 } from '@papayarun/protocol';
 import type {SchedulerFinder} from './scheduler_finder.js';
 
@@ -20,8 +22,10 @@
   readonly network: Pick<PeerNetwork, 'call' | 'notify'>;
   readonly clock: Clock;
   readonly log: EventLog;
-  /** Runs a job on the scheduler of this instance. */
-  readonly schedule: (job: ScheduledJob) => Promise<JobOutcome>;
+  /** Runs a job on a shard that this instance schedules. */
+  readonly schedule: (shard: ShardId, job: ScheduledJob) => Promise<JobOutcome>;
+  /** Quotes a job on a shard that this instance schedules. */
+  readonly quote: (shard: ShardId, job: ScheduledJob) => JobQuote;
   /** Cancels a job that this instance submitted to its own scheduler. */
   readonly cancel: (jobId: JobId) => void;
   /** Records a run time, in case this instance becomes the next scheduler. */
--- /dev/null
+++ b/packages/daemon/src/entry_instance/link_policy.test.ts
@@ -0,0 +1,77 @@
+import type {
+  DataCentreId,
+  InstanceId,
+  KnownInstance,
+} from '@papayarun/protocol';
+import {shardIdOf} from '@papayarun/protocol';
+import type {SchedulerGrant} from '@papayarun/releases';
+import {describe, expect, it} from 'vitest';
+import {LinkPolicy} from './link_policy.js';
+
+const CENTRO = 'centro' as DataCentreId;
+const SERRA = 'serra' as DataCentreId;
+
+function grantsOf(shardsEach: number): Record<string, SchedulerGrant> {
+  const grants: Record<string, SchedulerGrant> = {};
+  for (const dataCentre of [CENTRO, SERRA]) {
+    for (let n = 0; n < shardsEach; n++) {
+      grants[shardIdOf(dataCentre, n)] = {
+        instanceId: `${dataCentre}-${n}` as InstanceId,
+        boot: 'b' as SchedulerGrant['boot'],
+        token: n + 1,
+      };
+    }
+  }
+  return grants;
+}
+
+function entry(name: string, dataCentre: DataCentreId): KnownInstance {
+  return {instanceId: name as InstanceId, dataCentre, role: 'entry'};
+}
+
+function linksOf(self: string, shardsEach: number): string[] {
+  const policy = LinkPolicy.create(self as InstanceId, CENTRO);
+  const grants = grantsOf(shardsEach);
+  return Object.values(grants)
+    .map(({instanceId}) => instanceId)
+    .filter(id => policy.shouldLink(entry(id, CENTRO), grants));
+}
+
+describe('LinkPolicy', () => {
+  it('links to all schedulers and state instances of a small deployment', () => {
+    expect(linksOf('centro-9', 1)).toEqual(['centro-0', 'serra-0']);
+    const policy = LinkPolicy.create('centro-9' as InstanceId, CENTRO);
+    const state: KnownInstance = {...entry('core', SERRA), role: 'state'};
+    expect(policy.shouldLink(state, grantsOf(1))).toBe(true);
+    expect(policy.shouldLink(entry('centro-5', CENTRO), grantsOf(1))).toBe(
+      false,
+    );
+  });
+
+  it('links to a number of schedulers that does not grow with the deployment', () => {
+    expect(linksOf('centro-9', 200)).toHaveLength(10);
+  });
+
+  it('spreads the links of many instances over the schedulers', () => {
+    const counts = new Map<string, number>();
+    for (let n = 0; n < 200; n++) {
+      for (const id of linksOf(`entry-${n}`, 16)) {
+        counts.set(id, (counts.get(id) ?? 0) + 1);
+      }
+    }
+    const own = [...counts].filter(([id]) => id.startsWith('centro'));
+    expect(own).toHaveLength(16);
+    expect(Math.max(...own.map(([, count]) => count))).toBeLessThan(150);
+  });
+
+  it('follows the grant of a shard to its next holder', () => {
+    const policy = LinkPolicy.create('centro-9' as InstanceId, CENTRO);
+    const grants = grantsOf(1);
+    expect(policy.shouldLink(entry('centro-7', CENTRO), grants)).toBe(false);
+    const moved = {
+      ...grants,
+      centro: {...grants['centro']!, instanceId: 'centro-7' as InstanceId},
+    };
+    expect(policy.shouldLink(entry('centro-7', CENTRO), moved)).toBe(true);
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/entry_instance/link_policy.ts
@@ -0,0 +1,80 @@
+import type {
+  DataCentreId,
+  InstanceId,
+  KnownInstance,
+  ShardId,
+} from '@papayarun/protocol';
+import {dataCentreOfShard, rendezvousOrder} from '@papayarun/protocol';
+import type {ControlState} from '@papayarun/releases';
+
+/** Most shards of the own data centre whose schedulers are linked. */
+const MAX_OWN_SHARDS = 8;
+/** Most shards of each other data centre whose schedulers are linked. */
+const MAX_REMOTE_SHARDS = 2;
+
+/**
+ * Selects the peers to which an entry instance keeps a link.
+ *
+ * @description All state instances, and the schedulers of some shards: each
+ * instance selects others, so that all schedulers get about the same number of
+ * links and this number doesn't grow with the number of instances.
+ */
+export class LinkPolicy {
+  private selectedFrom: ControlState['schedulers'] | undefined;
+  private selectedPeers: ReadonlySet<InstanceId> = new Set();
+
+  private constructor(
+    private readonly self: InstanceId,
+    private readonly dataCentre: DataCentreId,
+  ) {}
+
+  /**
+   * Creates a policy.
+   *
+   * @param self - Id of the entry instance.
+   * @param dataCentre - Its data centre.
+   * @returns The policy.
+   * @example
+   * const policy = LinkPolicy.create(self, dataCentre);
+   */
+  static create(self: InstanceId, dataCentre: DataCentreId): LinkPolicy {
+    return new LinkPolicy(self, dataCentre);
+  }
+
+  /**
+   * Whether to keep a link to a peer.
+   *
+   * @param peer - The peer.
+   * @param schedulers - Grants in force by shard.
+   * @returns True if a link is wanted.
+   */
+  shouldLink(
+    peer: KnownInstance,
+    schedulers: ControlState['schedulers'],
+  ): boolean {
+    if (this.selectedFrom !== schedulers) {
+      this.selectedFrom = schedulers;
+      this.selectedPeers = this.select(schedulers);
+    }
+    return peer.role === 'state' || this.selectedPeers.has(peer.instanceId);
+  }
+
+  private select(schedulers: ControlState['schedulers']): Set<InstanceId> {
+    const byDataCentre = new Map<DataCentreId, ShardId[]>();
+    for (const shard of Object.keys(schedulers) as ShardId[]) {
+      const dataCentre = dataCentreOfShard(shard);
+      const shards = byDataCentre.get(dataCentre) ?? [];
+      shards.push(shard);
+      byDataCentre.set(dataCentre, shards);
+    }
+    const peers = new Set<InstanceId>();
+    for (const [dataCentre, shards] of byDataCentre) {
+      const most =
+        dataCentre === this.dataCentre ? MAX_OWN_SHARDS : MAX_REMOTE_SHARDS;
+      for (const shard of rendezvousOrder(this.self, shards).slice(0, most)) {
+        peers.add(schedulers[shard]!.instanceId);
+      }
+    }
+    return peers;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry_instance/local_schedulers.ts
@@ -0,0 +1,234 @@
+import type {
+  BootId,
+  InstanceId,
+  JobId,
+  JobOutcome,
+  JobQuote,
+  KindId,
+  RunTimeSample,
+  ScheduledJob,
+  ShardId,
+  TargetId,
+  TargetReport,
+} from '@papayarun/protocol';
+import {dataCentreOfShard, EMPTY_QUOTE} from '@papayarun/protocol';
+import {RunTimeEstimator, Scheduler} from '@papayarun/scheduling';
+import type {LocalSchedulersOptions} from './local_schedulers_options.js';
+
+const NOT_SCHEDULER: JobOutcome = {
+  kind: 'refused',
+  reason: 'notScheduler',
+  retryAfterMs: 500,
+  quote: EMPTY_QUOTE,
+};
+
+/**
+ * Schedulers of the shards that are granted to this entry instance.
+ */
+export class LocalSchedulers {
+  private readonly estimator = RunTimeEstimator.create();
+  private readonly schedulers = new Map<ShardId, Scheduler>();
+  /** Token of the last grant of each shard that a target has rejected. */
+  private readonly fencedTokens = new Map<ShardId, number>();
+  /** Instances that wait for the outcome of each job, by shard and job. */
+  private readonly requesters = new Map<ShardId, Map<JobId, Set<InstanceId>>>();
+
+  private constructor(private readonly opts: LocalSchedulersOptions) {}
+
+  /**
+   * Creates the schedulers, none of them granted.
+   *
+   * @param opts - Identity, target client, control state, clock and log.
+   * @returns The schedulers.
+   * @example
+   * const schedulers = LocalSchedulers.create(opts);
+   */
+  static create(opts: LocalSchedulersOptions): LocalSchedulers {
+    return new LocalSchedulers(opts);
+  }
+
+  /**
+   * Starts and stops schedulers according to the grants in force.
+   *
+   * @param boot - Incarnation of this instance.
+   * @returns The shards whose scheduler was started.
+   */
+  applyGrants(boot: BootId): ShardId[] {
+    const {schedulers: grants} = this.opts.store.state;
+    const begun: ShardId[] = [];
+    for (const shard of this.schedulers.keys()) {
+      if (!this.isGranted(shard, boot)) {
+        this.schedulers.get(shard)!.end();
+      }
+    }
+    for (const [id, {token}] of Object.entries(grants)) {
+      const shard = id as ShardId;
+      if (this.isGranted(shard, boot) && this.token(shard) !== token) {
+        this.schedulerOf(shard).begin(token);
+        begun.push(shard);
+      }
+    }
+    return begun;
+  }
+
+  /** Fencing token under which a shard is scheduled here, if it is. */
+  token(shard: ShardId): number | undefined {
+    return this.schedulers.get(shard)?.token;
+  }
+
+  /** Runs a job on a shard, or refuses it. */
+  async submit(
+    requester: InstanceId,
+    shard: ShardId,
+    job: ScheduledJob,
+  ): Promise<JobOutcome> {
+    const scheduler = this.schedulers.get(shard);
+    if (!scheduler) {
+      return NOT_SCHEDULER;
+    }
+    const byJob = this.requestersOf(shard);
+    const requesters = byJob.get(job.id) ?? new Set();
+    byJob.set(job.id, requesters.add(requester));
+    const outcome = await scheduler.submit(job);
+    byJob.delete(job.id);
+    return outcome;
+  }
+
+  /** Estimates when the tasks of a job would end on a shard. */
+  quote(shard: ShardId, job: ScheduledJob): JobQuote {
+    return this.schedulers.get(shard)?.quote(job) ?? EMPTY_QUOTE;
+  }
+
+  /** Processes a report of a target; false if its shard isn't granted here. */
+  acceptReport(shard: ShardId, report: TargetReport): boolean {
+    return this.schedulers.get(shard)?.acceptReport(report) ?? false;
+  }
+
+  /** Records a run time that another instance has measured. */
+  recordRunTime(kind: KindId, {declaredMs, ranMs}: RunTimeSample): void {
+    this.estimator.addSample(kind, declaredMs, ranMs);
+  }
+
+  /** Cancels a job unless another instance waits for it too. */
+  cancel(requester: InstanceId, jobId: JobId): void {
+    for (const [shard, byJob] of this.requesters) {
+      const requesters = byJob.get(jobId);
+      requesters?.delete(requester);
+      if (requesters?.size === 0) {
+        this.schedulers.get(shard)?.cancel(jobId);
+      }
+    }
+  }
+
+  /** Cancels all jobs of an instance that no other one waits for. */
+  cancelAllOf(requester: InstanceId): void {
+    const jobIds = new Set<JobId>();
+    for (const byJob of this.requesters.values()) {
+      for (const [jobId, requesters] of byJob) {
+        if (requesters.has(requester)) {
+          jobIds.add(jobId);
+        }
+      }
+    }
+    for (const jobId of jobIds) {
+      this.cancel(requester, jobId);
+    }
+  }
+
+  /** Targets that the log assigns to a shard but that no session exists for. */
+  missingTargets(shard: ShardId): TargetId[] {
+    const scheduler = this.schedulers.get(shard);
+    if (scheduler?.token === undefined) {
+      return [];
+    }
+    const {targetShards} = this.opts.store.state;
+    return (Object.keys(targetShards) as TargetId[]).filter(
+      targetId =>
+        targetShards[targetId] === shard && !scheduler.hasTarget(targetId),
+    );
+  }
+
+  /** Shards that are scheduled here. */
+  get shards(): ShardId[] {
+    return [...this.schedulers.keys()].filter(
+      shard => this.token(shard) !== undefined,
+    );
+  }
+
+  /** Number of jobs with tasks that wait for a target. */
+  get waitingJobs(): number {
+    return this.sum(scheduler => scheduler.waitingJobs);
+  }
+
+  /** Values of the gauges to export as metrics. */
+  gauges(): Record<string, number> {
+    const all = [...this.schedulers.values()];
+    return {
+      scheduler_token: Math.max(0, ...all.map(({token}) => token ?? 0)),
+      scheduled_shards: this.shards.length,
+      waiting_jobs: this.waitingJobs,
+      oldest_wait_ms: Math.max(0, ...all.map(({oldestWaitMs}) => oldestWaitMs)),
+      running_tasks: this.sum(scheduler => scheduler.runningTasks),
+      targets: this.sum(scheduler => scheduler.targets),
+    };
+  }
+
+  /** Gives up all shards; their jobs pass to the next schedulers. */
+  end(): void {
+    for (const scheduler of this.schedulers.values()) {
+      scheduler.end();
+    }
+  }
+
+  private isGranted(shard: ShardId, boot: BootId): boolean {
+    const {self, dataCentre, store} = this.opts;
+    const grant = store.state.schedulers[shard];
+    return (
+      dataCentreOfShard(shard) === dataCentre &&
+      grant?.instanceId === self &&
+      grant.boot === boot &&
+      grant.token > (this.fencedTokens.get(shard) ?? 0)
+    );
+  }
+
+  private schedulerOf(shard: ShardId): Scheduler {
+    let scheduler = this.schedulers.get(shard);
+    if (!scheduler) {
+      const {store, metrics} = this.opts;
+      scheduler = Scheduler.create({
+        ...this.opts,
+        shard,
+        estimator: this.estimator,
+        shardCount: () => Object.keys(store.state.schedulers).length,
+        ownsTarget: targetId => {
+          const assigned = store.state.targetShards[targetId];
+          return assigned === undefined || assigned === shard;
+        },
+        onFenced: token => this.fencedTokens.set(shard, token),
+        onOutcome: (job, outcome, tookMs) => {
+          const verdict = 'reason' in outcome ? outcome.reason : outcome.kind;
+          metrics.recordJob(job.kind, verdict, tookMs);
+        },
+      });
+      this.schedulers.set(shard, scheduler);
+    }
+    return scheduler;
+  }
+
+  private requestersOf(shard: ShardId): Map<JobId, Set<InstanceId>> {
+    let byJob = this.requesters.get(shard);
+    if (!byJob) {
+      byJob = new Map();
+      this.requesters.set(shard, byJob);
+    }
+    return byJob;
+  }
+
+  private sum(count: (scheduler: Scheduler) => number): number {
+    let total = 0;
+    for (const scheduler of this.schedulers.values()) {
+      total += count(scheduler);
+    }
+    return total;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry_instance/local_schedulers_options.ts
@@ -0,0 +1,24 @@
+import type {
+  Clock,
+  DataCentreId,
+  EventLog,
+  InstanceId,
+} from '@papayarun/protocol';
+import type {ControlStore} from '@papayarun/releases';
+import type {SchedulerTiming, TargetPort} from '@papayarun/scheduling';
+import type {Metrics} from '../metrics/metrics.js';
+
+/**
+ * Options of the schedulers of an entry instance.
+ */
+export interface LocalSchedulersOptions {
+  readonly self: InstanceId;
+  readonly dataCentre: DataCentreId;
+  readonly targetClient: TargetPort;
+  readonly timing: SchedulerTiming;
+  readonly store: Pick<ControlStore, 'state'>;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: Pick<Metrics, 'recordJob'>;
+  readonly loopLagMs: () => number;
+}
--- a/packages/daemon/src/entry_instance/scheduler_finder.test.ts
+++ b/packages/daemon/src/entry_instance/scheduler_finder.test.ts
@@ -38,10 +38,10 @@
     const clock = VirtualClock.create();
     const finder = finderAt(clock);
     await clock.advance(5_000);
-    finder.recordGrant(7);
+    finder.recordGrants([7]);
     expect(finder.isTakeoverRefusal('noTargets')).toBe(true);
     await clock.advance(501);
-    finder.recordGrant(7);
+    finder.recordGrants([7]);
     expect(finder.isTakeoverRefusal('noTargets')).toBe(false);
   });
 });
--- a/packages/daemon/src/entry_instance/scheduler_finder.ts
+++ b/packages/daemon/src/entry_instance/scheduler_finder.ts
@@ -1,7 +1,8 @@
-import type {DataCentreId, JobRefusal} from '@papayarun/protocol';
+import type {JobRefusal, ShardId} from '@papayarun/protocol';
+import {dataCentreOfShard} from '@papayarun/protocol';
 import type {SchedulerGrant} from '@papayarun/releases';
-import type {DataCentreScheduler} from './data_centre_scheduler.js';
 import type {SchedulerFinderOptions} from './scheduler_finder_options.js';
+import type {ShardScheduler} from './shard_scheduler.js';
 
 /** Interval of the checks for a successor of a scheduler, in milliseconds. */
 const SUCCESSOR_POLL_INTERVAL_MS = 20;
@@ -25,7 +26,7 @@
 export class SchedulerFinder {
   /** Monotonic time at which the grant of this data centre last changed. */
   private grantChangedMs = -Infinity;
-  private grantToken = 0;
+  private grantTokens = '';
   private readonly startedMs: number;
 
   private constructor(private readonly opts: SchedulerFinderOptions) {
@@ -44,16 +45,17 @@
     return new SchedulerFinder(opts);
   }
 
-  /** Records the token of the current grant of this data centre. */
-  recordGrant(token: number): void {
-    if (token !== this.grantToken) {
-      this.grantToken = token;
+  /** Records the tokens of the current grants of this data centre. */
+  recordGrants(tokens: readonly number[]): void {
+    const joined = tokens.join();
+    if (joined !== this.grantTokens) {
+      this.grantTokens = joined;
       this.recordGrantChange();
     }
   }
 
   /**
-   * Records that the grant of this data centre changes now, also before the
+   * Records that a grant of this data centre changes now, also before the
    * change is applied on this instance.
    */
   recordGrantChange(): void {
@@ -61,38 +63,37 @@
   }
 
   /**
-   * Lists the reachable schedulers: the one of this data centre first, the
-   * others in random order.
+   * Lists the reachable schedulers: first those of this instance, then those of
+   * this data centre, then the others, each group in random order.
    */
-  reachable(): DataCentreScheduler[] {
+  reachable(): ShardScheduler[] {
     const {cfg} = this.opts;
     const {membership, network, store} = this.opts;
     const linked = new Set(network.connectedPeers());
-    const schedulers: DataCentreScheduler[] = [];
-    for (const [dataCentre, grant] of Object.entries(store.state.schedulers)) {
+    const schedulers: Array<{scheduler: ShardScheduler; rank: number}> = [];
+    for (const [id, grant] of Object.entries(store.state.schedulers)) {
+      const shard = id as ShardId;
       const isSelf =
         grant.instanceId === cfg.instanceId &&
-        this.opts.ownToken() === grant.token;
+        this.opts.ownToken(shard) === grant.token;
       const isReachable =
         linked.has(grant.instanceId) && membership.isAlive(grant.instanceId);
       if (isSelf || isReachable) {
-        schedulers.push({dataCentre: dataCentre as DataCentreId, grant});
+        const dataCentre = dataCentreOfShard(shard);
+        const group = isSelf ? 0 : dataCentre === cfg.dataCentre ? 1 : 2;
+        const scheduler = {shard, dataCentre, grant};
+        schedulers.push({scheduler, rank: group + this.opts.random.next()});
       }
     }
-    const rank = (scheduler: DataCentreScheduler): number =>
-      scheduler.dataCentre === cfg.dataCentre ? 0 : 1 + this.opts.random.next();
     return schedulers
-      .map(scheduler => ({scheduler, rank: rank(scheduler)}))
       .sort((a, b) => a.rank - b.rank)
       .map(({scheduler}) => scheduler);
   }
 
-  /** Finds the scheduler of this data centre in a list of reachable ones. */
-  localSchedulerIn(
-    schedulers: readonly DataCentreScheduler[],
-  ): DataCentreScheduler | undefined {
+  /** Selects the schedulers of this data centre from a list of them. */
+  localSchedulersIn(schedulers: readonly ShardScheduler[]): ShardScheduler[] {
     const {dataCentre} = this.opts.cfg;
-    return schedulers.find(scheduler => scheduler.dataCentre === dataCentre);
+    return schedulers.filter(scheduler => scheduler.dataCentre === dataCentre);
   }
 
   /** Whether a refusal is due to a scheduler takeover that is in progress. */
@@ -106,11 +107,11 @@
   }
 
   /**
-   * Waits until a data centre has a reachable scheduler with a higher fencing
-   * token than the previous grant; undefined on abort or timeout.
+   * Waits until a shard has a reachable scheduler with a higher fencing token
+   * than the previous grant; undefined on abort or timeout.
    */
   async waitForSuccessor(
-    dataCentre: DataCentreId,
+    shard: ShardId,
     previous: SchedulerGrant,
     signal: AbortSignal,
   ): Promise<SchedulerGrant | undefined> {
@@ -118,7 +119,7 @@
     const startedMs = clock.now();
     while (!signal.aborted && clock.now() - startedMs < MAX_SUCCESSOR_WAIT_MS) {
       const successor = this.reachable().find(
-        scheduler => scheduler.dataCentre === dataCentre,
+        scheduler => scheduler.shard === shard,
       );
       if (successor && successor.grant.token > previous.token) {
         return successor.grant;
--- a/packages/daemon/src/entry_instance/scheduler_finder_options.ts
+++ b/packages/daemon/src/entry_instance/scheduler_finder_options.ts
@@ -1,5 +1,10 @@
 import type {Membership} from '@papayarun/membership';
-import type {Clock, PeerNetwork, RandomSource} from '@papayarun/protocol';
+import type {
+  Clock,
+  PeerNetwork,
+  RandomSource,
+  ShardId,
+} from '@papayarun/protocol';
 import type {ControlStore} from '@papayarun/releases';
 import type {NodeSettings} from '../cluster_node/node_settings.js';
 
@@ -13,6 +18,6 @@
   readonly membership: Pick<Membership, 'isAlive'>;
   readonly clock: Clock;
   readonly random: RandomSource;
-  /** Fencing token under which this instance schedules, if it does. */
-  readonly ownToken: () => number | undefined;
+  /** Fencing token under which this instance schedules a shard, if it does. */
+  readonly ownToken: (shard: ShardId) => number | undefined;
 }
--- a/packages/daemon/src/state_instance/scheduler_granter.ts
+++ b/packages/daemon/src/state_instance/scheduler_granter.ts
@@ -1,14 +1,15 @@
-import type {PeerState} from '@papayarun/membership';
-import type {DataCentreId} from '@papayarun/protocol';
-import {selectNextScheduler} from './select_next_scheduler.js';
+import {entryCandidates} from './entry_candidates.js';
+import type {EntryCandidate} from './entry_candidate.js';
+import {planGrants} from './plan_grants.js';
+import type {PlannedGrant} from './planned_grant.js';
 import type {SchedulerGranterOptions} from './scheduler_granter_options.js';
 
 /** Interval of the grant checks, in milliseconds. */
 const CHECK_INTERVAL_MS = 100;
 
 /**
- * Grants the scheduler of each data centre to a live entry instance while the
- * local replica is the leader.
+ * Grants the shards of each data centre to live entry instances while the local
+ * replica is the leader.
  */
 export class SchedulerGranter {
   private readonly stopping = new AbortController();
@@ -50,63 +51,43 @@
   }
 
   private async checkAllDataCentres(): Promise<void> {
-    const byDataCentre = new Map<DataCentreId, PeerState[]>();
-    for (const peer of this.opts.membership.livePeers()) {
-      if (peer.heartbeat.role === 'entry') {
-        const {dataCentre} = peer.heartbeat;
-        byDataCentre.set(dataCentre, [
-          ...(byDataCentre.get(dataCentre) ?? []),
-          peer,
-        ]);
-      }
-    }
-    for (const [dataCentre, peers] of byDataCentre) {
-      await this.checkDataCentre(dataCentre, peers);
+    const {membership, clock, heartbeatGraceMs, store} = this.opts;
+    const mayReplaceSilent =
+      clock.now() - (this.leaderSinceMs ?? Infinity) > heartbeatGraceMs;
+    const grants: Array<Promise<void>> = [];
+    for (const [dataCentre, candidates] of entryCandidates(membership)) {
+      const planned = planGrants(
+        store.state,
+        dataCentre,
+        candidates,
+        mayReplaceSilent,
+      );
+      grants.push(...planned.map(grant => this.propose(grant, candidates)));
     }
+    await Promise.all(grants);
   }
 
-  private async checkDataCentre(
-    dataCentre: DataCentreId,
-    peers: readonly PeerState[],
+  private async propose(
+    {shard, fromToken, instanceId, boot}: PlannedGrant,
+    candidates: readonly EntryCandidate[],
   ): Promise<void> {
-    const {store, clock, heartbeatGraceMs, log} = this.opts;
-    const currentGrant = store.state.schedulers[dataCentre];
-    const candidates = peers.map(({instanceId, heartbeat}) => ({
-      instanceId,
-      boot: heartbeat.boot,
-      state: heartbeat.state,
-    }));
-    const isHolderAlive = candidates.some(
-      candidate => candidate.instanceId === currentGrant?.instanceId,
-    );
-    const isGraceOver =
-      clock.now() - (this.leaderSinceMs ?? Infinity) > heartbeatGraceMs;
-    const next = selectNextScheduler(currentGrant, candidates);
-    if (!next || (currentGrant && !isHolderAlive && !isGraceOver)) {
-      return;
-    }
-    const {instanceId, boot} = next;
+    const {store, log} = this.opts;
+    const fields = {
+      shard,
+      held: store.state.schedulers[shard],
+      live: candidates,
+    };
     try {
       const result = await this.opts.control().propose({
         kind: 'grantScheduler',
-        dataCentre,
-        fromToken: currentGrant?.token ?? 0,
+        dataCentre: shard,
+        fromToken,
         instanceId,
         boot,
       });
-      log.emit('schedulerGranted', {
-        dataCentre,
-        held: currentGrant,
-        live: candidates,
-        result,
-      });
+      log.emit('schedulerGranted', {...fields, result});
     } catch (err) {
-      log.emit('schedulerGranted', {
-        dataCentre,
-        held: currentGrant,
-        live: candidates,
-        err: (err as Error).message,
-      });
+      log.emit('schedulerGranted', {...fields, err: (err as Error).message});
     }
   }
 }
--- a/packages/daemon/src/state_instance/state_instance.ts
+++ b/packages/daemon/src/state_instance/state_instance.ts
@@ -1,6 +1,5 @@
 import {randomUUID} from 'node:crypto';
 import type {
-  DataCentreId,
   Heartbeat,
   InstanceId,
   KnownInstance,
@@ -15,6 +14,7 @@
 import {formCluster} from '../form_cluster/form_cluster.js';
 import {SchedulerGranter} from './scheduler_granter.js';
 import type {StateInstanceOptions} from './state_instance_options.js';
+import {TargetAssigner} from './target_assigner.js';
 import {TargetDirectory} from './target_directory.js';
 
 /** Number of log entries after which the replica compacts its log. */
@@ -38,6 +38,7 @@
   private node!: ClusterNode;
   private replica!: Replica;
   private granter!: SchedulerGranter;
+  private assigner!: TargetAssigner;
   targetDirectory!: TargetDirectory;
 
   private constructor(private readonly opts: StateInstanceOptions) {}
@@ -146,6 +147,7 @@
     this.state = 'draining';
     this.stopping.abort();
     this.granter.stop();
+    this.assigner.stop();
     await this.node.stop();
   }
 
@@ -155,6 +157,7 @@
       ...opts,
       store,
       state: () => this.state,
+      maxTargets: 0,
       shouldLink: (peer: KnownInstance) => peer.role === 'state',
       onLinkDown: () => undefined,
       onIncarnationChanged: () => undefined,
@@ -182,8 +185,17 @@
       network,
       clock: opts.clock,
       log: opts.log,
-      schedulerOf: (dataCentre: DataCentreId) =>
-        store.state.schedulers[dataCentre]?.instanceId,
+      shardOf: (id, dataCentre) => this.assigner.shardOf(id, dataCentre),
+      schedulerOf: shard => store.state.schedulers[shard]?.instanceId,
+    });
+    this.assigner = TargetAssigner.create({
+      clock: opts.clock,
+      log: opts.log,
+      store,
+      membership,
+      control: () => this.node.control,
+      onAssigned: (targetId, shard) =>
+        this.targetDirectory.handleAssigned(targetId, shard),
     });
     this.granter = SchedulerGranter.create({
       clock: opts.clock,
@@ -199,6 +211,7 @@
   private start(): void {
     this.node.start();
     this.granter.start();
+    this.assigner.start();
     void this.sweepLoop();
     if (this.opts.isFirstStart) {
       void this.formClusterLoop();
--- /dev/null
+++ b/packages/daemon/src/state_instance/target_assigner.ts
@@ -0,0 +1,131 @@
+import type {DataCentreId, ShardId, TargetId} from '@papayarun/protocol';
+import {dataCentreOfShard, shardIdOf} from '@papayarun/protocol';
+import {entryCandidates} from './entry_candidates.js';
+import type {TargetAssignerOptions} from './target_assigner_options.js';
+import {targetsPerShard} from './targets_per_shard.js';
+
+/** Interval at which new targets are assigned together, in milliseconds. */
+const ASSIGN_INTERVAL_MS = 100;
+/** Most targets that one command of the log assigns. */
+const MAX_TARGETS_PER_COMMAND = 500;
+
+/**
+ * Has the log assign targets that reported here to shards.
+ */
+export class TargetAssigner {
+  private readonly pending = new Map<TargetId, DataCentreId>();
+  private readonly stopping = new AbortController();
+
+  private constructor(private readonly opts: TargetAssignerOptions) {}
+
+  /**
+   * Creates an assigner.
+   *
+   * @param opts - Log, membership and callback.
+   * @returns The assigner, not started.
+   * @example
+   * TargetAssigner.create(opts).start();
+   */
+  static create(opts: TargetAssignerOptions): TargetAssigner {
+    return new TargetAssigner(opts);
+  }
+
+  start(): void {
+    void this.loop();
+  }
+
+  stop(): void {
+    this.stopping.abort();
+  }
+
+  /**
+   * Finds the shard of a target, and has the target assigned if it has none.
+   *
+   * @param targetId - The target.
+   * @param dataCentre - Its data centre.
+   * @returns The shard; undefined until the log has assigned one.
+   */
+  shardOf(targetId: TargetId, dataCentre: DataCentreId): ShardId | undefined {
+    const shard = this.opts.store.state.targetShards[targetId];
+    if (shard !== undefined) {
+      return shard;
+    }
+    if (!this.canAssign()) {
+      return shardIdOf(dataCentre, 0);
+    }
+    this.pending.set(targetId, dataCentre);
+    return undefined;
+  }
+
+  /**
+   * Whether all state instances know the command that assigns targets; one of
+   * an earlier version would fail to apply it.
+   */
+  private canAssign(): boolean {
+    return this.opts.membership
+      .livePeers()
+      .every(
+        ({heartbeat}) =>
+          heartbeat.role !== 'state' || heartbeat.maxTargets !== undefined,
+      );
+  }
+
+  private async loop(): Promise<void> {
+    const {signal} = this.stopping;
+    while (!signal.aborted) {
+      await this.opts.clock.sleep(ASSIGN_INTERVAL_MS, signal);
+      const byDataCentre = new Map<DataCentreId, TargetId[]>();
+      for (const [targetId, dataCentre] of this.pending) {
+        const targetIds = byDataCentre.get(dataCentre) ?? [];
+        if (targetIds.length < MAX_TARGETS_PER_COMMAND) {
+          targetIds.push(targetId);
+        }
+        byDataCentre.set(dataCentre, targetIds);
+      }
+      await Promise.all(
+        [...byDataCentre].map(([dataCentre, targetIds]) =>
+          this.assign(dataCentre, targetIds),
+        ),
+      );
+    }
+  }
+
+  private async assign(
+    dataCentre: DataCentreId,
+    targetIds: readonly TargetId[],
+  ): Promise<void> {
+    const {store, membership, log, onAssigned} = this.opts;
+    const candidates = entryCandidates(membership).get(dataCentre) ?? [];
+    const shardCount = Object.keys(store.state.schedulers).filter(
+      shard => dataCentreOfShard(shard as ShardId) === dataCentre,
+    ).length;
+    if (shardCount === 0) {
+      return;
+    }
+    try {
+      const result = await this.opts.control().propose({
+        kind: 'assignTargets',
+        dataCentre,
+        targetIds,
+        maxTargetsPerShard: targetsPerShard(candidates, shardCount),
+      });
+      const shards = result.kind === 'targets' ? result.shards : {};
+      for (const [id, shard] of Object.entries(shards)) {
+        const targetId = id as TargetId;
+        this.pending.delete(targetId);
+        onAssigned(targetId, shard);
+      }
+      log.emit('targetsAssigned', {
+        dataCentre,
+        asked: targetIds.length,
+        shards,
+      });
+    } catch (err) {
+      log.emit('targetsAssigned', {
+        dataCentre,
+        asked: targetIds.length,
+        err: (err as Error).message,
+      });
+    }
+  }
+}
--- a/packages/daemon/src/state_instance/target_directory.test.ts
+++ b/packages/daemon/src/state_instance/target_directory.test.ts
@@ -2,6 +2,7 @@
   DataCentreId,
   InstanceId,
   ServiceId,
+  ShardId,
   TargetId,
   TargetReport,
 } from '@papayarun/protocol';
@@ -43,6 +44,7 @@
     network: this.network.join(STATE),
     clock: this.clock,
     log: SilentLog.create(),
+    shardOf: () => 'centro' as ShardId,
     schedulerOf: () => this.scheduler,
   });
 
--- a/packages/daemon/src/state_instance/target_directory.ts
+++ b/packages/daemon/src/state_instance/target_directory.ts
@@ -1,9 +1,5 @@
-import type {
-  DataCentreId,
-  InstanceId,
-  TargetId,
-  TargetReport,
-} from '@papayarun/protocol';
+import type {ShardId, TargetId, TargetReport} from '@papayarun/protocol';
+import {shardIdOf} from '@papayarun/protocol';
 import type {TargetDirectoryOptions} from './target_directory_options.js';
 
 /** Time after which the report of a silent target expires, in milliseconds. */
@@ -32,8 +28,10 @@
    */
   static create(opts: TargetDirectoryOptions): TargetDirectory {
     const directory = new TargetDirectory(opts);
-    opts.network.onCall('listTargets', (_from, {dataCentre}) =>
-      Promise.resolve({reports: directory.reportsIn(dataCentre)}),
+    opts.network.onCall('listTargets', (_from, {dataCentre, shard}) =>
+      Promise.resolve({
+        reports: directory.reportsIn(shard ?? shardIdOf(dataCentre, 0)),
+      }),
     );
     return directory;
   }
@@ -48,7 +46,7 @@
   }
 
   /**
-   * Stores a report and forwards it to the scheduler of the data centre.
+   * Stores a report and forwards it to the scheduler of the target's shard.
    *
    * @param report - Report of a target.
    * @returns Whether the report may be acknowledged. A leaving target gets the
@@ -62,14 +60,23 @@
     }
     const receivedMs = this.opts.clock.now();
     this.reports.set(report.targetId, {report, receivedMs});
-    const to = this.opts.schedulerOf(report.dataCentre);
-    if (to === undefined) {
+    const shard = this.opts.shardOf(report.targetId, report.dataCentre);
+    if (shard === undefined) {
+      // No scheduler uses the target yet.
       return true;
     }
-    const forwarded = this.forward(to, report);
+    const forwarded = this.forward(shard, report);
     return report.state === 'ready' ? true : forwarded;
   }
 
+  /** Forwards the latest report of a target to the scheduler of its new shard. */
+  handleAssigned(targetId: TargetId, shard: ShardId): void {
+    const report = this.latestReport(targetId);
+    if (report) {
+      void this.forward(shard, report);
+    }
+  }
+
   /** Removes the expired reports of silent targets. */
   sweep(): void {
     const nowMs = this.opts.clock.now();
@@ -80,20 +87,28 @@
     }
   }
 
-  private reportsIn(dataCentre: DataCentreId): TargetReport[] {
+  private reportsIn(shard: ShardId): TargetReport[] {
     return [...this.reports.values()]
       .map(({report}) => report)
-      .filter(report => report.dataCentre === dataCentre);
+      .filter(
+        ({targetId, dataCentre}) =>
+          this.opts.shardOf(targetId, dataCentre) === shard,
+      );
   }
 
   private async forward(
-    to: InstanceId,
+    shard: ShardId,
     report: TargetReport,
   ): Promise<boolean> {
+    const to = this.opts.schedulerOf(shard);
+    if (to === undefined) {
+      return true;
+    }
+    const req = {report, shard};
     const opts = {timeoutMs: FORWARD_TIMEOUT_MS};
     try {
       const {network} = this.opts;
-      return (await network.call(to, 'reportTarget', {report}, opts)).accepted;
+      return (await network.call(to, 'reportTarget', req, opts)).accepted;
     } catch (err) {
       if (report.state !== 'ready') {
         this.opts.log.emit('reportNotPassedOn', {
--- a/packages/daemon/src/state_instance/target_directory_options.ts
+++ b/packages/daemon/src/state_instance/target_directory_options.ts
@@ -4,6 +4,8 @@
   EventLog,
   InstanceId,
   PeerNetwork,
+  ShardId,
+  TargetId,
 } from '@papayarun/protocol';
 
 /**
@@ -13,6 +15,11 @@
   readonly network: PeerNetwork;
   readonly clock: Clock;
   readonly log: EventLog;
-  /** Instance that holds the scheduler grant of a data centre, if any. */
-  readonly schedulerOf: (dataCentre: DataCentreId) => InstanceId | undefined;
+  /** Shard of a target, or undefined until the log has assigned one. */
+  readonly shardOf: (
+    targetId: TargetId,
+    dataCentre: DataCentreId,
+  ) => ShardId | undefined;
+  /** Instance that holds the grant of a shard, if any. */
+  readonly schedulerOf: (shard: ShardId) => InstanceId | undefined;
 }
--- a/packages/protocol/src/event_log/event_catalogue.ts
+++ b/packages/protocol/src/event_log/event_catalogue.ts
@@ -228,6 +228,16 @@
     level: 'info',
     text: 'this instance now manages the target',
   },
+  targetsAssigned: {
+    number: 6016,
+    level: 'info',
+    text: 'log assigned targets to shards of their data centre, or failed to',
+  },
+  targetsRemoved: {
+    number: 6017,
+    level: 'info',
+    text: 'log removed targets that no longer exist from their shard, or failed to',
+  },
   targetGone: {
     number: 6002,
     level: 'info',
--- a/packages/protocol/src/messages/heartbeat.ts
+++ b/packages/protocol/src/messages/heartbeat.ts
@@ -16,4 +16,9 @@
   /** Milliseconds since that state was last known to be the latest. */
   readonly currentAgeMs: number;
   readonly digest: InstanceDigest;
+  /**
+   * Number of targets that the instance can schedule, 0 on state instances.
+   * Absent in versions that schedule whole data centres instead of shards.
+   */
+  readonly maxTargets?: number;
 }
--- a/packages/protocol/src/messages/schedule_job_call.ts
+++ b/packages/protocol/src/messages/schedule_job_call.ts
@@ -1,11 +1,16 @@
+import type {ShardId} from '../ids/shard_id.js';
 import type {JobOutcome} from '../scheduling/job_outcome.js';
 import type {ScheduledJob} from '../scheduling/scheduled_job.js';
 
 /**
- * Submits a job to a data centre's scheduler; the response is sent when the job
+ * Submits a job to the scheduler of a shard; the response is sent when the job
  * has ended.
  */
 export interface ScheduleJobCall {
-  readonly req: {readonly job: ScheduledJob};
+  readonly req: {
+    readonly job: ScheduledJob;
+    /** Absent in versions without shards, which mean the first one. */
+    readonly shard?: ShardId;
+  };
   readonly res: {readonly outcome: JobOutcome};
 }
--- a/packages/releases/src/apply_command/apply_command.ts
+++ b/packages/releases/src/apply_command/apply_command.ts
@@ -4,6 +4,8 @@
 import {applyGrant} from '../_lib/apply_grant.js';
 import {applyNote} from '../_lib/apply_note.js';
 import {applyPreferences} from '../_lib/apply_preferences.js';
+import {applyTargetAssignment} from '../_lib/apply_target_assignment.js';
+import {applyTargetRemoval} from '../_lib/apply_target_removal.js';
 import {applyView} from '../_lib/apply_view.js';
 import type {AppliedCommand} from './applied_command.js';
 
@@ -34,6 +36,10 @@
       return applyConfiguration(state, command);
     case 'grantScheduler':
       return applyGrant(state, command);
+    case 'assignTargets':
+      return applyTargetAssignment(state, command);
+    case 'removeTargets':
+      return applyTargetRemoval(state, command);
     default:
       return command satisfies never;
   }
--- a/packages/releases/src/command/control_command.ts
+++ b/packages/releases/src/command/control_command.ts
@@ -1,4 +1,10 @@
-import type {BootId, DataCentreId, InstanceId} from '@papayarun/protocol';
+import type {
+  BootId,
+  DataCentreId,
+  InstanceId,
+  ShardId,
+  TargetId,
+} from '@papayarun/protocol';
 import type {ViewMember} from '../claim_view/view_member.js';
 import type {ReleaseNote} from '../note/release_note.js';
 
@@ -40,9 +46,27 @@
     }
   | {
       readonly kind: 'grantScheduler';
-      readonly dataCentre: DataCentreId;
+      /**
+       * Shard to schedule. The field bears the name that it had before data
+       * centres were divided into shards.
+       */
+      readonly dataCentre: ShardId;
       /** Token of the grant that this one replaces; 0 for none. */
       readonly fromToken: number;
       readonly instanceId: InstanceId;
       readonly boot: BootId;
+    }
+  | {
+      /** Assigns targets without a shard to the smallest shards. */
+      readonly kind: 'assignTargets';
+      readonly dataCentre: DataCentreId;
+      readonly targetIds: readonly TargetId[];
+      /** Size above which a shard gets no more targets. */
+      readonly maxTargetsPerShard: number;
+    }
+  | {
+      /** Removes targets that no longer exist from their shard. */
+      readonly kind: 'removeTargets';
+      readonly shard: ShardId;
+      readonly targetIds: readonly TargetId[];
     };
--- a/packages/releases/src/command/control_result.ts
+++ b/packages/releases/src/command/control_result.ts
@@ -1,3 +1,4 @@
+import type {ShardId, TargetId} from '@papayarun/protocol';
 import type {SchedulerGrant} from '../scheduler_grant/scheduler_grant.js';
 import type {ClaimView} from '../claim_view/claim_view.js';
 import type {NoteVerdict} from '../note/note_verdict.js';
@@ -23,4 +24,9 @@
       readonly kind: 'grant';
       readonly accepted: boolean;
       readonly grant: SchedulerGrant | undefined;
+    }
+  | {
+      readonly kind: 'targets';
+      /** Shards of the targets that the command named and that have one. */
+      readonly shards: Readonly<Record<TargetId, ShardId>>;
     };
--- a/packages/releases/src/control_state/control_state.ts
+++ b/packages/releases/src/control_state/control_state.ts
@@ -1,3 +1,4 @@
+import type {ShardId, TargetId} from '@papayarun/protocol';
 import type {AcceptedConfiguration} from '../configuration/accepted_configuration.js';
 import type {SchedulerGrant} from '../scheduler_grant/scheduler_grant.js';
 import type {ClaimView} from '../claim_view/claim_view.js';
@@ -32,8 +33,10 @@
   >;
   /** Whole configuration in force, if operators send whole configurations. */
   readonly configuration?: AcceptedConfiguration;
-  /** Scheduler grants in force by data centre. */
-  readonly schedulers: Readonly<Record<string, SchedulerGrant>>;
+  /** Scheduler grants in force by shard. */
+  readonly schedulers: Readonly<Record<ShardId, SchedulerGrant>>;
+  /** Shard of each target; a target stays in its shard until it is removed. */
+  readonly targetShards: Readonly<Record<TargetId, ShardId>>;
   /** Highest fencing token that was ever granted. */
   readonly lastToken: number;
 }
--- a/packages/releases/src/control_state/empty_control_state.ts
+++ b/packages/releases/src/control_state/empty_control_state.ts
@@ -10,5 +10,6 @@
   views: {},
   customers: {},
   schedulers: {},
+  targetShards: {},
   lastToken: 0,
 };
--- a/packages/releases/src/scheduler_grant/scheduler_grant.ts
+++ b/packages/releases/src/scheduler_grant/scheduler_grant.ts
@@ -1,7 +1,7 @@
 import type {BootId, InstanceId} from '@papayarun/protocol';
 
 /**
- * Incarnation of an instance that schedules the targets of a data centre.
+ * Incarnation of an instance that schedules the targets of a shard.
  */
 export interface SchedulerGrant {
   readonly instanceId: InstanceId;
--- a/packages/scheduling/src/_lib/target_session.ts
+++ b/packages/scheduling/src/_lib/target_session.ts
@@ -439,7 +439,7 @@
   /** Handles a rejection that concerns the target as a whole. */
   private handleHoldRejection(reason: OrderRejection): boolean {
     if (reason === 'fenced') {
-      this.host.onFenced();
+      this.host.onFenced(this);
       return true;
     }
     if (reason === 'otherIncarnation') {
@@ -537,7 +537,7 @@
   private handleStartRejection(run: RunRecord, reason: OrderRejection): void {
     switch (reason) {
       case 'fenced':
-        this.host.onFenced();
+        this.host.onFenced(this);
         return;
       case 'noRoom':
         this.isFull = true;
@@ -591,7 +591,7 @@
         }
       } else if (res.kind === 'rejected') {
         if (res.reason === 'fenced') {
-          this.host.onFenced();
+          this.host.onFenced(this);
           return;
         }
         if (res.reason === 'otherIncarnation') {
--- a/packages/scheduling/src/_lib/target_session_host.ts
+++ b/packages/scheduling/src/_lib/target_session_host.ts
@@ -3,6 +3,7 @@
 import type {EndReport} from '../target_port/end_report.js';
 import type {TargetPort} from '../target_port/target_port.js';
 import type {RunRecord} from './run_record.js';
+import type {TargetSession} from './target_session.js';
 
 /**
  * Services and callbacks that a scheduler gives to its target sessions.
@@ -19,7 +20,7 @@
   /** Called when an order to start was certainly not carried out. */
   onRunNotStarted(run: RunRecord, reason: string): void;
   /** Called when a target has seen a higher fencing token. */
-  onFenced(): void;
+  onFenced(session: TargetSession): void;
   /**
    * Called when the free capacity or the availability of a target has changed.
    */
--- a/packages/scheduling/src/admit_job/admit_job.test.ts
+++ b/packages/scheduling/src/admit_job/admit_job.test.ts
@@ -12,6 +12,7 @@
   objectiveTimeLeftMs: 156,
   usefulTimeLeftMs: 234,
   callerTimeLeftMs: 2_000,
+  loopLagMs: 0,
   waitingJobs: 0,
   isDiscoveringTargets: false,
 };
@@ -30,6 +31,14 @@
     });
   });
 
+  it('refuses a job that targets could do in time but a late event loop could not', () => {
+    const late = {...USUAL, loopLagMs: 60};
+    expect(admitJob(late)).toMatchObject({kind: 'refused', reason: 'tooLate'});
+    expect(admitJob({...USUAL, loopLagMs: 10})).toMatchObject({
+      kind: 'admitted',
+    });
+  });
+
   it('quotes a late end only while few jobs wait', () => {
     const late = {...USUAL, endsMs: [60, 200]};
     expect(admitJob(late)).toMatchObject({quote: {latestMs: 234}});
@@ -66,6 +75,7 @@
       objectiveTimeLeftMs: fc.integer({min: -500, max: 4_000}),
       usefulTimeLeftMs: fc.integer({min: -500, max: 9_000}),
       callerTimeLeftMs: fc.integer({min: -500, max: 4_000}),
+      loopLagMs: fc.nat(3_000),
       waitingJobs: fc.nat(3_000),
       isDiscoveringTargets: fc.boolean(),
     });
@@ -102,6 +112,7 @@
         objectiveTimeLeftMs: 1_500,
         usefulTimeLeftMs: 2_250,
         callerTimeLeftMs: 4_000,
+        loopLagMs: 0,
         waitingJobs: 0,
         isDiscoveringTargets: false,
       });
--- a/packages/scheduling/src/admit_job/admit_job.ts
+++ b/packages/scheduling/src/admit_job/admit_job.ts
@@ -37,25 +37,27 @@
  * somewhat late: a late job goes behind the others and takes only slots that
  * they leave. The quote allows any end before the caller's deadline while a new
  * scheduler still discovers targets: the others report within a period, and
- * refusals would lose jobs that they have capacity for.
+ * refusals would lose jobs that they have capacity for. If the event loop runs
+ * late, the job has waited about that long before it was read, and its ends will
+ * be read that much later.
  * @param forecast - Expected ends and the times left.
  * @returns Whether the job is admitted, else when to retry.
  * @throws Never.
  * @example
  * admitJob({slots: 8, criticalPathMs: 60, endsMs: [60, 90], urgentShare: 0,
  *   objectiveTimeLeftMs: 150, usefulTimeLeftMs: 225, callerTimeLeftMs: 1_400,
- *   waitingJobs: 0, isDiscoveringTargets: false});
+ *   loopLagMs: 0, waitingJobs: 0, isDiscoveringTargets: false});
  */
 export function admitJob(forecast: JobForecast): Admission {
-  const {slots, criticalPathMs, objectiveTimeLeftMs, callerTimeLeftMs} =
-    forecast;
+  const {slots, criticalPathMs, callerTimeLeftMs, loopLagMs} = forecast;
+  const objectiveTimeLeftMs = forecast.objectiveTimeLeftMs - loopLagMs;
   if (slots === 0) {
     return refuse('noTargets', MIN_RETRY_AFTER_MS, EMPTY_QUOTE);
   }
   const freeShare = 1 - Math.min(MAX_URGENT_SHARE, forecast.urgentShare);
   const endsMs = forecast.endsMs.map(endMs => {
     const waitMs = Math.max(0, endMs - criticalPathMs);
-    return endMs + waitMs / freeShare - waitMs;
+    return endMs + waitMs / freeShare - waitMs + loopLagMs;
   });
   const relativeWidth = endsMs.length / Math.max(1, slots * WIDE_JOB_SHARE);
   const slackShare =
--- a/packages/scheduling/src/admit_job/job_forecast.ts
+++ b/packages/scheduling/src/admit_job/job_forecast.ts
@@ -19,6 +19,8 @@
   readonly usefulTimeLeftMs: number;
   /** Time from now until the caller stops waiting, in milliseconds. */
   readonly callerTimeLeftMs: number;
+  /** Time by which the event loop runs late, in milliseconds. */
+  readonly loopLagMs: number;
   /** Number of jobs that already wait at this scheduler. */
   readonly waitingJobs: number;
   /** Whether the scheduler has just begun and still discovers targets. */
--- a/packages/scheduling/src/scheduler/scheduler.test.ts
+++ b/packages/scheduling/src/scheduler/scheduler.test.ts
@@ -5,6 +5,7 @@
   KindId,
   ScheduledJob,
   ServiceId,
+  ShardId,
   TargetId,
   TargetReport,
   TaskId,
@@ -13,6 +14,7 @@
 import {EmulatedTarget, SilentLog, VirtualClock} from '@papayarun/test_kit';
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
+import {RunTimeEstimator} from '../run_time_estimator/run_time_estimator.js';
 import {splitJob} from '../split_job/split_job.js';
 import type {HoldOrder} from '../target_port/hold_order.js';
 import type {HoldResult} from '../target_port/hold_result.js';
@@ -92,7 +94,11 @@
         stopMs: STOP_MS,
         reportMs: 0,
       },
-      dataCentreCount: () => this.dataCentres,
+      shard: 'centro' as ShardId,
+      estimator: RunTimeEstimator.create(),
+      shardCount: () => this.dataCentres,
+      ownsTarget: () => true,
+      loopLagMs: () => 0,
       onFenced: () => undefined,
       onOutcome: () => undefined,
     });
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -30,7 +30,7 @@
 import {expectedEnds} from '../expected_ends/expected_ends.js';
 import {reservedSlots} from '../reserved_slots/reserved_slots.js';
 import {LoadMeter} from '../load_meter/load_meter.js';
-import {RunTimeEstimator} from '../run_time_estimator/run_time_estimator.js';
+import type {RunTimeEstimator} from '../run_time_estimator/run_time_estimator.js';
 import type {EndReport} from '../target_port/end_report.js';
 import type {SchedulerOptions} from './scheduler_options.js';
 
@@ -101,14 +101,12 @@
 const TAKEOVER_RETRY_MS = 500;
 
 /**
- * Schedules the tasks of jobs on the targets of a data centre.
+ * Schedules the tasks of jobs on the targets of a shard.
  *
- * @description Active while the instance holds the scheduler grant of its data
- * centre. Pure functions decide on admission, order and placement; this class
+ * @description Active while the instance holds the grant of the shard. Pure functions decide on admission, order and placement; this class
  * keeps the state that they work on.
  */
 export class Scheduler {
-  private readonly estimator = RunTimeEstimator.create();
   private readonly loadMeter = LoadMeter.create();
   private readonly jobs = new Map<string, JobRecord>();
   private readonly sessions = new Map<TargetId, TargetSession>();
@@ -123,7 +121,11 @@
   private lastTargetAddedMs = -Infinity;
   private isPlacementDue = false;
 
-  private constructor(private readonly opts: SchedulerOptions) {}
+  private readonly estimator: RunTimeEstimator;
+
+  private constructor(private readonly opts: SchedulerOptions) {
+    this.estimator = opts.estimator;
+  }
 
   /**
    * Creates a scheduler that holds no grant.
@@ -157,6 +159,17 @@
     return count;
   }
 
+  /** Age of the oldest job with an unplaced task, in milliseconds. */
+  get oldestWaitMs(): number {
+    const nowMs = this.opts.clock.now();
+    return Math.max(0, ...this.waiting.map(job => nowMs - job.receivedMs));
+  }
+
+  /** Whether a target has reported to this scheduler and is still in use. */
+  hasTarget(targetId: TargetId): boolean {
+    return this.sessions.has(targetId);
+  }
+
   /** Number of known targets. */
   get targets(): number {
     return this.sessions.size;
@@ -182,11 +195,11 @@
       token,
       onRunEnded: (run, how) => this.handleRunEnded(run, how),
       onRunNotStarted: (run, reason) => this.handleRunNotStarted(run, reason),
-      onFenced: () => this.handleFenced(token),
+      onFenced: session => this.handleFenced(session, token),
       onChange: () => this.schedulePlacement(),
     };
     this.beganMs = this.opts.clock.now();
-    this.opts.log.emit('schedulerBegun', {token});
+    this.opts.log.emit('schedulerBegun', {shard: this.opts.shard, token});
     void this.watchLoop(this.endController.signal);
   }
 
@@ -213,7 +226,8 @@
           : refusal('notScheduler'),
       );
     }
-    this.opts.log.emit('schedulerEnded', {token: host.token});
+    const {shard} = this.opts;
+    this.opts.log.emit('schedulerEnded', {shard, token: host.token});
   }
 
   /**
@@ -286,7 +300,8 @@
         this.reportOutcome(record, admission);
         return Promise.resolve(admission);
       }
-      if (lastTaskStartMs(admission.quote, record) > MAX_LOCAL_WAIT_MS) {
+      const waitMs = lastTaskStartMs(admission.quote, record);
+      if (waitMs - this.opts.loopLagMs() > MAX_LOCAL_WAIT_MS) {
         // Not final: the entry compares the quotes of all data centres and may
         // submit the job, or a part of it, again as promised.
         record.isConcluded = true;
@@ -357,9 +372,9 @@
     const slotFreeMs = slotFreeTimes(job, this.sessions.values(), nowMs);
     const sequence = ++this.sequence;
     const slots = totalSlots(job, this.sessions.values());
-    // The objective depends on the slots of the whole service. All data centres
-    // are assumed to have as many as this one.
-    const serviceSlots = slots * Math.max(1, this.opts.dataCentreCount());
+    // The objective depends on the slots of the whole service. All shards are
+    // assumed to have as many as this one.
+    const serviceSlots = slots * Math.max(1, this.opts.shardCount());
     return {
       record: createJobRecord(job, expectedMs, sequence, serviceSlots, nowMs),
       slotFreeMs,
@@ -398,6 +413,7 @@
         USEFUL_TIME_FACTOR *
         (record.objectiveAtMs - record.receivedMs + job.ageMs),
       callerTimeLeftMs: record.callerDeadlineAtMs - nowMs,
+      loopLagMs: this.opts.loopLagMs(),
       waitingJobs: this.waiting.length,
       isDiscoveringTargets: this.isDiscoveringTargets(nowMs),
     });
@@ -743,9 +759,16 @@
     );
   }
 
-  private handleFenced(token: number): void {
-    if (this.host?.token === token) {
-      this.opts.log.emit('schedulerFenced', {token});
+  private handleFenced(session: TargetSession, token: number): void {
+    if (this.host?.token !== token) {
+      return;
+    }
+    const {shard} = this.opts;
+    const target = session.report.targetId;
+    this.opts.log.emit('schedulerFenced', {shard, token, target});
+    if (!this.opts.ownsTarget(target)) {
+      this.abandonTarget(session);
+    } else {
       this.end();
       this.opts.onFenced(token);
     }
@@ -844,6 +867,17 @@
     }
   }
 
+  /** Gives up a target that the scheduler of another shard has taken over. */
+  private abandonTarget(session: TargetSession): void {
+    const jobs = new Set([...session.runs.values()].map(run => run.task.job));
+    for (const job of jobs) {
+      this.failJob(job, 'schedulerLost');
+    }
+    if (this.sessions.get(session.report.targetId) === session) {
+      this.removeSession(session, 'moved');
+    }
+  }
+
   private removeSession(session: TargetSession, reason: string): void {
     session.close();
     this.sessions.delete(session.report.targetId);
--- a/packages/scheduling/src/scheduler/scheduler_options.ts
+++ b/packages/scheduling/src/scheduler/scheduler_options.ts
@@ -3,7 +3,10 @@
   EventLog,
   JobOutcome,
   ScheduledJob,
+  ShardId,
+  TargetId,
 } from '@papayarun/protocol';
+import type {RunTimeEstimator} from '../run_time_estimator/run_time_estimator.js';
 import type {TargetPort} from '../target_port/target_port.js';
 import type {SchedulerTiming} from './scheduler_timing.js';
 
@@ -15,8 +18,16 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly timing: SchedulerTiming;
-  /** Number of data centres with a scheduler, including this one. */
-  readonly dataCentreCount: () => number;
+  /** Shard whose targets are scheduled. */
+  readonly shard: ShardId;
+  /** Run times learnt from jobs, shared by the schedulers of an instance. */
+  readonly estimator: RunTimeEstimator;
+  /** Number of shards of all data centres, including this one. */
+  readonly shardCount: () => number;
+  /** Whether the log assigns a target to the shard. */
+  readonly ownsTarget: (targetId: TargetId) => boolean;
+  /** Time by which the event loop runs late, in milliseconds. */
+  readonly loopLagMs: () => number;
   /**
    * Called when a target has seen a higher fencing token than that of the
    * grant.
--- a/packages/scheduling/src/scheduler/worst_load.test.ts
+++ b/packages/scheduling/src/scheduler/worst_load.test.ts
@@ -5,6 +5,7 @@
   RandomSource,
   ScheduledJob,
   ServiceId,
+  ShardId,
   TargetId,
   TargetReport,
   TaskId,
@@ -12,6 +13,7 @@
 import {SeededRandom} from '@papayarun/protocol';
 import {SilentLog, VirtualClock} from '@papayarun/test_kit';
 import {describe, expect, it} from 'vitest';
+import {RunTimeEstimator} from '../run_time_estimator/run_time_estimator.js';
 import {splitJob} from '../split_job/split_job.js';
 import type {EndReport} from '../target_port/end_report.js';
 import type {HoldOrder} from '../target_port/hold_order.js';
@@ -206,7 +208,11 @@
         clock: this.clock,
         log: SilentLog.create(),
         timing: {maxLeaseMs: SECOND_MS, stopMs: 50, reportMs: 0},
-        dataCentreCount: () => DATA_CENTRES,
+        shard: `d${d}` as ShardId,
+        estimator: RunTimeEstimator.create(),
+        shardCount: () => DATA_CENTRES,
+        ownsTarget: () => true,
+        loopLagMs: () => 0,
         onFenced: () => undefined,
         onOutcome: () => undefined,
       });
