Read all peer messages that have arrived, not one a turn of the event loop

Seen: on the landed code a grown scheduler answered 25 to 50 jobs a second of about 190 that came, from the first second on, with 1009 loopLate only once (212 ms): its timers were nearly on time while its jobs waited unread. Cause: the links were opened with allowSynchronousEvents false, so ws emits one message of a link and then waits for the next turn of the loop (setImmediate). A turn of a busy scheduler takes tens of milliseconds, which caps a link at a few tens of messages a second whatever the processor could do. Change: messages are emitted as they are read; an inbox keeps those that arrive before the link's reader is attached, which the deferral had been used for.

--- a/packages/membership/src/ws_peer_network/handshake.ts
+++ b/packages/membership/src/ws_peer_network/handshake.ts
@@ -2,6 +2,7 @@
 import type {InstanceId} from '@papayarun/protocol';
 import type {WebSocket} from 'ws';
 import {isMacEqual, linkMac} from '../_lib/link_mac.js';
+import type {MessageInbox} from './message_inbox.js';
 
 const NONCE_BYTES = 18;
 const HANDSHAKE_TIMEOUT_MS = 2_000;
@@ -22,16 +23,18 @@
  * messages: the dialling side's hello, the accepting side's hello with its MAC,
  * and the dialling side's MAC.
  * @param socket - Open socket.
+ * @param inbox - Messages of the socket.
  * @param self - Id of this instance.
  * @param key - Shared key.
  * @param expectedPeer - Peer that was dialled, or undefined when accepting.
  * @returns Authenticated id of the peer.
  * @throws Error when the peer fails to authenticate in time.
  * @example
- * const peer = await handshake(socket, self, key, undefined);
+ * const peer = await handshake(socket, inbox, self, key, undefined);
  */
 export async function handshake(
   socket: WebSocket,
+  inbox: MessageInbox,
   self: InstanceId,
   key: string,
   expectedPeer: InstanceId | undefined,
@@ -39,7 +42,7 @@
   const nonce = randomBytes(NONCE_BYTES).toString('base64');
   if (expectedPeer !== undefined) {
     socket.send(JSON.stringify({id: self, nonce}));
-    const hello = await nextHello(socket);
+    const hello = await nextHello(socket, inbox);
     const expectedMac = linkMac(key, [
       'accept',
       hello.id,
@@ -56,10 +59,10 @@
     socket.send(JSON.stringify({id: self, nonce, mac}));
     return hello.id;
   }
-  const hello = await nextHello(socket);
+  const hello = await nextHello(socket, inbox);
   const mac = linkMac(key, ['accept', self, hello.id, hello.nonce, nonce]);
   socket.send(JSON.stringify({id: self, nonce, mac}));
-  const proofHello = await nextHello(socket);
+  const proofHello = await nextHello(socket, inbox);
   const expectedMac = linkMac(key, [
     'dial',
     hello.id,
@@ -75,11 +78,10 @@
   return hello.id;
 }
 
-function nextHello(socket: WebSocket): Promise<Hello> {
+function nextHello(socket: WebSocket, inbox: MessageInbox): Promise<Hello> {
   return new Promise((resolve, reject) => {
     const finish = (settle: () => void): void => {
       clearTimeout(timer);
-      socket.off('message', onMessage);
       socket.off('close', onClose);
       settle();
     };
@@ -98,8 +100,8 @@
       () => fail('timed out waiting for a hello'),
       HANDSHAKE_TIMEOUT_MS,
     );
-    socket.on('message', onMessage);
     socket.on('close', onClose);
+    void inbox.next().then(onMessage);
   });
 }
 
--- a/packages/membership/src/ws_peer_network/peer_link.ts
+++ b/packages/membership/src/ws_peer_network/peer_link.ts
@@ -4,6 +4,7 @@
 import type {Frame} from '../_lib/frame.js';
 import {parseFrame} from '../_lib/parse_frame.js';
 import type {LinkObserver} from './link_observer.js';
+import type {MessageInbox} from './message_inbox.js';
 
 interface PendingCall {
   readonly resolve: (body: unknown) => void;
@@ -22,6 +23,7 @@
   private constructor(
     readonly peer: InstanceId,
     private readonly socket: WebSocket,
+    private readonly inbox: MessageInbox,
     private readonly observer: LinkObserver,
     private readonly maxBufferedBytes: number,
     private readonly now: () => number,
@@ -34,21 +36,24 @@
    *
    * @param peer - Id of the peer.
    * @param socket - Open socket.
+   * @param inbox - Messages of the socket.
    * @param observer - Receives the type and size of each sent frame.
    * @param maxBufferedBytes - Unsent bytes above which calls are refused.
    * @param now - Monotonic clock in milliseconds.
    * @returns The link.
    * @example
-   * const link = PeerLink.create(peer, socket, observer, 1 << 20, now);
+   * const link = PeerLink.create(peer, socket, inbox, observer, 1 << 20,
+   *   now);
    */
   static create(
     peer: InstanceId,
     socket: WebSocket,
+    inbox: MessageInbox,
     observer: LinkObserver,
     maxBufferedBytes: number,
     now: () => number,
   ): PeerLink {
-    return new PeerLink(peer, socket, observer, maxBufferedBytes, now);
+    return new PeerLink(peer, socket, inbox, observer, maxBufferedBytes, now);
   }
 
   /**
@@ -59,7 +64,7 @@
    */
   run(onRequest: (link: PeerLink, frame: Frame) => void): Promise<string> {
     return new Promise(resolve => {
-      this.socket.on('message', (data: Buffer) => {
+      this.inbox.forwardTo(data => {
         this.lastHeardMs = this.now();
         try {
           this.receive(parseFrame(data), onRequest);
--- a/packages/membership/src/ws_peer_network/ws_peer_network.ts
+++ b/packages/membership/src/ws_peer_network/ws_peer_network.ts
@@ -10,6 +10,7 @@
 import type {Frame} from '../_lib/frame.js';
 import type {PeerAddress} from '../peer_address/peer_address.js';
 import {handshake} from './handshake.js';
+import {MessageInbox} from './message_inbox.js';
 import {PeerLink} from './peer_link.js';
 import type {WsPeerNetworkOptions} from './ws_peer_network_options.js';
 
@@ -63,7 +64,6 @@
       ...listen,
       maxPayload: opts.maxFrameBytes,
       perMessageDeflate: false,
-      allowSynchronousEvents: false,
     });
     await new Promise<void>((resolve, reject) => {
       server.once('listening', resolve);
@@ -220,17 +220,17 @@
     const socket = new WebSocket(`ws://${host}:${peer.port}`, {
       maxPayload: this.opts.maxFrameBytes,
       perMessageDeflate: false,
-      allowSynchronousEvents: false,
       handshakeTimeout: CONNECT_TIMEOUT_MS,
     });
+    const inbox = MessageInbox.create(socket);
     try {
       await new Promise<void>((resolve, reject) => {
         socket.once('open', resolve);
         socket.once('error', reject);
       });
       socket.on('error', () => socket.terminate());
-      await handshake(socket, this.self, this.opts.key, peer.instanceId);
-      await this.runLink(peer.instanceId, socket);
+      await handshake(socket, inbox, this.self, this.opts.key, peer.instanceId);
+      await this.runLink(peer.instanceId, socket, inbox);
     } finally {
       socket.on('error', () => undefined);
       socket.terminate();
@@ -238,14 +238,21 @@
   }
 
   private async accept(socket: WebSocket): Promise<void> {
+    const inbox = MessageInbox.create(socket);
     socket.on('error', () => socket.terminate());
     try {
-      const peer = await handshake(socket, this.self, this.opts.key, undefined);
+      const peer = await handshake(
+        socket,
+        inbox,
+        this.self,
+        this.opts.key,
+        undefined,
+      );
       const isMember = this.opts.peers.some(p => p.instanceId === peer);
       if (!isMember && !this.opts.acceptsUnknownPeers) {
         throw new Error(`${peer} is not among the members`);
       }
-      await this.runLink(peer, socket);
+      await this.runLink(peer, socket, inbox);
     } catch (err) {
       this.opts.observer.linkRefused((err as Error).message);
     } finally {
@@ -253,13 +260,18 @@
     }
   }
 
-  private async runLink(peer: InstanceId, socket: WebSocket): Promise<void> {
+  private async runLink(
+    peer: InstanceId,
+    socket: WebSocket,
+    inbox: MessageInbox,
+  ): Promise<void> {
     if (this.stopping.signal.aborted) {
       return;
     }
     const link = PeerLink.create(
       peer,
       socket,
+      inbox,
       this.opts.observer,
       this.opts.maxBufferedBytes,
       () => this.opts.clock.now(),
