Send fewer heartbeats where no grant depends on them

Cause: every pair of linked instances exchanged a heartbeat each 300 ms in both directions, and every instance told all others of each change of the state. Change: instances announce the interval of their heartbeats to a peer, and the peer's timeout follows from it. Entries and state instances still send to state instances each 300 ms, since grants and elections depend on that; to entries they send each 900 ms. State instances announce a change of the state, entries no longer repeat it to each other. A version that doesn't announce an interval gets all.

--- a/packages/daemon/src/cluster_node/cluster_node.ts
+++ b/packages/daemon/src/cluster_node/cluster_node.ts
@@ -11,6 +11,13 @@
 const MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
 /** Longest search for the leader of the replicated log, in milliseconds. */
 const LEADER_TIMEOUT_MS = 3_000;
+/** Number of checks for silent links in the time that makes one silent. */
+const LINK_CHECKS_PER_TIMEOUT = 4;
+/**
+ * Number of heartbeat intervals between two heartbeats on links that no grant
+ * depends on.
+ */
+const SLOW_HEARTBEAT_INTERVALS = 3;
 const EMPTY_DIGEST = {own: {}, dataCentre: {}};
 
 /**
@@ -44,7 +51,7 @@
    * node.start();
    */
   static async create(opts: ClusterNodeOptions): Promise<ClusterNode> {
-    const network = await openNetwork(opts);
+    const network = await openNetwork(opts, () => node);
     const membership = createMembership(opts, network, () => node);
     const discovery = PeerDiscovery.create({
       cfg: opts.cfg,
@@ -55,9 +62,15 @@
       shouldLink: peer => opts.shouldLink(peer, opts.store.state),
     });
     const node = new ClusterNode(opts, network, membership, discovery);
-    opts.store.onChange(() => {
-      membership.sendHeartbeat();
-      discovery.updateLinks();
+    opts.store.onChange((before, after) => {
+      // Entries learn of a change from state instances, and from each other at
+      // the usual interval.
+      if (opts.cfg.role === 'state') {
+        membership.sendHeartbeat();
+      }
+      if (before.schedulers !== after.schedulers) {
+        discovery.updateLinks();
+      }
     });
     return node;
   }
@@ -106,7 +119,10 @@
   }
 }
 
-function openNetwork(opts: ClusterNodeOptions): Promise<WsPeerNetwork> {
+function openNetwork(
+  opts: ClusterNodeOptions,
+  node: () => ClusterNode,
+): Promise<WsPeerNetwork> {
   const {cfg, log} = opts;
   return WsPeerNetwork.create(
     {
@@ -118,7 +134,8 @@
       random: opts.random,
       maxFrameBytes: MAX_FRAME_BYTES,
       maxBufferedBytes: MAX_BUFFERED_BYTES,
-      linkTimeoutMs: cfg.peerTimeoutMs,
+      linkTimeoutMs: peer => node().membership.timeoutOf(peer),
+      linkCheckMs: cfg.peerTimeoutMs / LINK_CHECKS_PER_TIMEOUT,
       observer: {
         linkUp: peer => log.emit('linkUp', {peer}),
         linkDown: (peer, reason) => {
@@ -146,6 +163,8 @@
     network,
     clock: opts.clock,
     heartbeatMs: cfg.heartbeatMs,
+    intervalsBetweenHeartbeats: ({role}) =>
+      role === 'state' ? 1 : SLOW_HEARTBEAT_INTERVALS,
     timeoutMs: cfg.peerTimeoutMs,
     ownState: opts.state,
     heartbeatFields: () => ({
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -76,6 +76,8 @@
  * Interval between two checks for work in progress during a drain, in
  * milliseconds.
  */
+/** Number of checks for silent links in the time that makes one silent. */
+const LINK_CHECKS_PER_TIMEOUT = 4;
 const DRAIN_POLL_MS = 20;
 /** Longest wait during a drain for leaving the claim view, in milliseconds. */
 const LEAVE_TIMEOUT_MS = 3_000;
@@ -185,7 +187,8 @@
         random: this.random,
         maxFrameBytes: limits.peerFrameBytes,
         maxBufferedBytes: MAX_BUFFERED_BYTES,
-        linkTimeoutMs: timing.peerTimeoutMs,
+        linkTimeoutMs: () => timing.peerTimeoutMs,
+        linkCheckMs: timing.peerTimeoutMs / LINK_CHECKS_PER_TIMEOUT,
         observer: {
           linkUp: peer => this.log.emit('linkUp', {peer}),
           linkDown: (peer, reason) => {
--- a/packages/membership/src/membership/membership.test.ts
+++ b/packages/membership/src/membership/membership.test.ts
@@ -28,7 +28,10 @@
   readonly members: Member[];
   private bootCount = 0;
 
-  constructor(count: number) {
+  constructor(
+    count: number,
+    private readonly intervals = 1,
+  ) {
     this.members = Array.from({length: count}, (_, n) =>
       this.join(`m${n}` as InstanceId),
     );
@@ -49,6 +52,7 @@
         network: end,
         clock: GatedClock.create(this.clock, end.gate),
         heartbeatMs: HEARTBEAT_MS,
+        intervalsBetweenHeartbeats: () => this.intervals,
         timeoutMs: TIMEOUT_MS,
         ownState: () => 'ready',
         heartbeatFields: () => ({
@@ -85,6 +89,27 @@
     }
   });
 
+  it('sends fewer heartbeats at a longer interval, and marks no peer dead for it at 5 % loss', async () => {
+    const cluster = new TestCluster(4, 3);
+    cluster.net.lossRate = 0.05;
+    const [receiver, silent] = cluster.members as [Member, Member];
+    let received = 0;
+    const count = (): void => {
+      received++;
+    };
+    await cluster.clock.advance(HOUR_MS);
+    for (const {changes} of cluster.members) {
+      expect(changes.filter(change => !change.alive)).toEqual([]);
+    }
+    receiver.end.onNotice('heartbeat', count);
+    await cluster.clock.advance(60 * HEARTBEAT_MS);
+    expect(received).toBeLessThanOrEqual((3 * 60) / 3 + 3);
+    const other = cluster.members[2]!;
+    silent.end.gate.close();
+    await cluster.clock.advance(3 * TIMEOUT_MS + 2 * HEARTBEAT_MS);
+    expect(other.membership.isAlive(silent.name)).toBe(false);
+  });
+
   it('marks a paused instance dead within the timeout plus two heartbeats, and alive again as a new incarnation', async () => {
     const cluster = new TestCluster(3);
     await cluster.clock.advance(5_000);
--- a/packages/membership/src/membership/membership.ts
+++ b/packages/membership/src/membership/membership.ts
@@ -63,14 +63,17 @@
 
   /** Sends a heartbeat to all linked peers now. */
   sendHeartbeat(): void {
-    const heartbeat: Heartbeat = {
-      boot: this.currentBoot,
-      dataCentre: this.opts.dataCentre,
-      ...this.opts.heartbeatFields(),
-    };
-    for (const peer of this.opts.network.connectedPeers()) {
-      this.opts.network.notify(peer, 'heartbeat', heartbeat);
-    }
+    this.sendHeartbeatTo(this.opts.network.connectedPeers());
+  }
+
+  /**
+   * Silence after which a peer is considered dead, in milliseconds; it depends
+   * on the interval that the peer has announced.
+   */
+  timeoutOf(peer: InstanceId): number {
+    const {heartbeatMs, timeoutMs} = this.opts;
+    const announcedMs = this.peers.get(peer)?.heartbeat.intervalMs;
+    return timeoutMs * Math.max(1, (announcedMs ?? 0) / heartbeatMs);
   }
 
   /** Whether a peer is alive. */
@@ -134,11 +137,40 @@
     }
   }
 
+  private sendHeartbeatTo(peers: readonly InstanceId[]): void {
+    const {dataCentre, heartbeatMs, network} = this.opts;
+    const fields = {
+      boot: this.currentBoot,
+      dataCentre,
+      ...this.opts.heartbeatFields(),
+    };
+    for (const peer of peers) {
+      const intervalMs = heartbeatMs * this.intervalsTo(peer);
+      network.notify(peer, 'heartbeat', {...fields, intervalMs});
+    }
+  }
+
+  /** Peers that get a heartbeat in a round, others each time. */
+  private peersDueAt(round: number): InstanceId[] {
+    return this.opts.network
+      .connectedPeers()
+      .filter((peer, n) => (round + n) % this.intervalsTo(peer) === 0);
+  }
+
+  /** Number of intervals between two heartbeats to a peer. */
+  private intervalsTo(peer: InstanceId): number {
+    const heartbeat = this.peers.get(peer)?.heartbeat;
+    return heartbeat?.intervalMs === undefined
+      ? 1
+      : (this.opts.intervalsBetweenHeartbeats?.(heartbeat) ?? 1);
+  }
+
   private async heartbeatLoop(): Promise<void> {
     const {clock, heartbeatMs, timeoutMs} = this.opts;
     let lastMs = clock.now();
+    let round = 0;
     while (!this.stopping.signal.aborted) {
-      this.sendHeartbeat();
+      this.sendHeartbeatTo(this.peersDueAt(round++));
       await clock.sleep(heartbeatMs, this.stopping.signal);
       const nowMs = clock.now();
       if (nowMs - lastMs > timeoutMs) {
@@ -159,7 +191,7 @@
 
   private expirePeers(nowMs: number): void {
     for (const id of [...this.alive]) {
-      if (nowMs - this.peers.get(id)!.lastHeardMs > this.opts.timeoutMs) {
+      if (nowMs - this.peers.get(id)!.lastHeardMs > this.timeoutOf(id)) {
         this.alive.delete(id);
         this.opts.onChange(id, false);
         this.invalidateLiveInstances();
--- a/packages/membership/src/ws_peer_network/ws_peer_network.test.ts
+++ b/packages/membership/src/ws_peer_network/ws_peer_network.test.ts
@@ -26,7 +26,8 @@
       },
       maxFrameBytes: 1 << 20,
       maxBufferedBytes: 1 << 20,
-      linkTimeoutMs: 5_000,
+      linkTimeoutMs: () => 5_000,
+      linkCheckMs: 1_000,
     },
     {host: HOST, port: 0},
   );
--- a/packages/membership/src/ws_peer_network/ws_peer_network.ts
+++ b/packages/membership/src/ws_peer_network/ws_peer_network.ts
@@ -319,11 +319,11 @@
 
   /** Closes links without received frames for `linkTimeoutMs`, such as half-open ones. */
   private async closeSilentLinksLoop(): Promise<void> {
-    const {clock, linkTimeoutMs} = this.opts;
+    const {clock, linkTimeoutMs, linkCheckMs} = this.opts;
     while (!this.stopping.signal.aborted) {
-      await clock.sleep(linkTimeoutMs / 4, this.stopping.signal);
+      await clock.sleep(linkCheckMs, this.stopping.signal);
       for (const link of this.links.values()) {
-        if (clock.now() - link.lastHeardMs > linkTimeoutMs) {
+        if (clock.now() - link.lastHeardMs > linkTimeoutMs(link.peer)) {
           link.close();
         }
       }
--- a/packages/membership/src/ws_peer_network/ws_peer_network_options.ts
+++ b/packages/membership/src/ws_peer_network/ws_peer_network_options.ts
@@ -17,6 +17,11 @@
   readonly maxFrameBytes: number;
   /** Unsent bytes above which a link refuses calls and drops one-way messages. */
   readonly maxBufferedBytes: number;
-  /** Silence in milliseconds after which a link is closed and reconnected. */
-  readonly linkTimeoutMs: number;
+  /**
+   * Silence in milliseconds after which the link to a peer is closed and
+   * reconnected.
+   */
+  readonly linkTimeoutMs: (peer: InstanceId) => number;
+  /** Interval of the checks for silent links, in milliseconds. */
+  readonly linkCheckMs: number;
 }
--- a/packages/protocol/src/messages/heartbeat.ts
+++ b/packages/protocol/src/messages/heartbeat.ts
@@ -16,6 +16,11 @@
   /** Milliseconds since that state was last known to be the latest. */
   readonly currentAgeMs: number;
   readonly digest: InstanceDigest;
+  /**
+   * Time until the next heartbeat to the same peer, in milliseconds. Absent in
+   * versions that send all heartbeats at the same interval.
+   */
+  readonly intervalMs?: number;
   /**
    * Number of targets that the instance can schedule, 0 on state instances.
    * Absent in versions that schedule whole data centres instead of shards.
