Let the timeout of orders follow the response times of targets

Cause: orders timed out after 40 ms whatever the load. When the own event loop or link was late, all answers came late, each was taken for a lost one, closed a connection, opened another and was followed by a look and a stop.

--- /dev/null
+++ b/packages/scheduling/src/response_times/response_times.test.ts
@@ -0,0 +1,33 @@
+import {describe, expect, it} from 'vitest';
+import {ResponseTimes} from './response_times.js';
+
+describe('ResponseTimes', () => {
+  it('keeps the shortest timeout while answers are quick', () => {
+    const times = ResponseTimes.create(40);
+    expect(times.timeoutMs).toBe(40);
+    for (let n = 0; n < 100; n++) {
+      times.add(3 + (n % 3));
+    }
+    expect(times.timeoutMs).toBe(40);
+  });
+
+  it('allows for answers that all come late, and returns when they no longer do', () => {
+    const times = ResponseTimes.create(40);
+    for (let n = 0; n < 20; n++) {
+      times.add(100);
+    }
+    expect(times.timeoutMs).toBeGreaterThan(100);
+    for (let n = 0; n < 60; n++) {
+      times.add(4);
+    }
+    expect(times.timeoutMs).toBe(40);
+  });
+
+  it('never waits longer than the longest timeout', () => {
+    const times = ResponseTimes.create(40);
+    for (let n = 0; n < 50; n++) {
+      times.add(n % 2 === 0 ? 10 : 5_000);
+    }
+    expect(times.timeoutMs).toBe(250);
+  });
+});
