Limit the quotes that a job costs under overload

Cause: a job that no scheduler can take at once asks up to four others for a quote; under overload that is every job, so the load of the schedulers grew with it. Change: two quotes per job on average at most, with a burst of 20 (RetryBudget). Test: 100 jobs that all need four quotes ask for 220 at most; 400 without the budget.

--- a/packages/daemon/src/entry_instance/job_submitter.test.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.test.ts
@@ -1,5 +1,4 @@
 import type {
-  DataCentreId,
   InstanceId,
   JobId,
   JobOutcome,
@@ -10,7 +9,7 @@
   ServiceId,
   ShardId,
 } from '@papayarun/protocol';
-import {PeerCallError} from '@papayarun/protocol';
+import {dataCentreOfShard, PeerCallError} from '@papayarun/protocol';
 import {SilentLog, VirtualClock} from '@papayarun/test_kit';
 import {describe, expect, it} from 'vitest';
 import {JobSubmitter} from './job_submitter.js';
@@ -22,20 +21,14 @@
 const COMPLETED: JobOutcome = {kind: 'completed', samples: []};
 const NEVER = new AbortController().signal;
 
-function schedulerOf(
-  dataCentre: string,
-  instanceId: InstanceId,
-): ShardScheduler {
+function schedulerOf(name: string, instanceId: InstanceId): ShardScheduler {
+  const shard = name as ShardId;
   const grant = {
     instanceId,
     boot: 'b',
     token: 1,
   } as unknown as ShardScheduler['grant'];
-  return {
-    shard: dataCentre as ShardId,
-    dataCentre: dataCentre as DataCentreId,
-    grant,
-  };
+  return {shard, dataCentre: dataCentreOfShard(shard), grant};
 }
 
 function quoteOf(...endsMs: number[]): JobQuote {
@@ -72,6 +65,8 @@
   readonly remoteJobs: ScheduledJob[] = [];
   readonly cancelled: JobId[] = [];
   quoteRequests = 0;
+  /** Shards of other schedulers. */
+  others = ['serra'];
   scheduleLocally: (job: ScheduledJob) => Promise<JobOutcome> = () =>
     Promise.resolve(COMPLETED);
   scheduleRemotely: (job: ScheduledJob) => Promise<JobOutcome> = () =>
@@ -100,7 +95,10 @@
   private finder(): SchedulerFinder {
     const localScheduler = schedulerOf('centro', SELF);
     const finder: Partial<SchedulerFinder> = {
-      reachable: () => [localScheduler, schedulerOf('serra', REMOTE)],
+      reachable: () => [
+        localScheduler,
+        ...this.others.map(shard => schedulerOf(shard, REMOTE)),
+      ],
       localSchedulersIn: () => [localScheduler],
       isTakeoverRefusal: () => false,
       recordGrantChange: () => undefined,
@@ -157,6 +155,17 @@
     expect(fixture.remoteJobs).toHaveLength(0);
   });
 
+  it('requests at most two quotes per job on average when every job needs them', async () => {
+    const fixture = new Fixture();
+    fixture.others = ['centro#1', 'centro#2', 'serra', 'ribeira'];
+    fixture.scheduleLocally = () => Promise.resolve(wouldWait(400, 400));
+    fixture.quoteRemotely = () => Promise.resolve(quoteOf(400, 400));
+    for (let n = 0; n < 100; n++) {
+      await fixture.submit(jobOf(2));
+    }
+    expect(fixture.quoteRequests).toBeLessThanOrEqual(2 * 100 + 20);
+  });
+
   it('starts no part of a refused job', async () => {
     const fixture = new Fixture();
     const refusal: JobOutcome = {
--- a/packages/daemon/src/entry_instance/job_submitter.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.ts
@@ -1,3 +1,4 @@
+import {RetryBudget} from '@papayarun/dispatch';
 import type {
   InstanceId,
   JobOutcome,
@@ -35,6 +36,11 @@
  * another quote, in milliseconds.
  */
 const QUOTE_FAILURE_BACKOFF_MS = 300;
+/**
+ * Quotes requested per job on average at most. At the usual load few jobs need
+ * any; under overload all do, and each quote adds to the load.
+ */
+const QUOTES_PER_JOB = 2;
 /** Retry delay sent to callers if no scheduler is reachable, in milliseconds. */
 const NO_SCHEDULER_RETRY_MS = 1_000;
 
@@ -54,6 +60,7 @@
  * first scheduler refuses it or would make it wait.
  */
 export class JobSubmitter {
+  private readonly quoteBudget = RetryBudget.create(QUOTES_PER_JOB);
   /** Monotonic time until which a scheduler isn't asked for another quote. */
   private readonly quoteBackoffUntilMs = new Map<InstanceId, number>();
 
@@ -81,6 +88,7 @@
    */
   async submit(job: ScheduledJob, signal: AbortSignal): Promise<JobOutcome> {
     const startedMs = this.opts.clock.now();
+    this.quoteBudget.deposit();
     const {scheduler, outcome} = await this.submitToFirst(
       job,
       startedMs,
@@ -89,7 +97,9 @@
     if (outcome.kind !== 'refused') {
       return outcome;
     }
-    const others = selectQuoted(this.opts.finder.reachable(), scheduler);
+    const others = this.withinBudget(
+      selectQuoted(this.opts.finder.reachable(), scheduler),
+    );
     const currentJob = this.withElapsedTime(job, startedMs);
     const quotes = [
       ...(scheduler ? [outcome.quote] : []),
@@ -197,6 +207,13 @@
     }
   }
 
+  /** As many schedulers as may still be asked for a quote, the nearest first. */
+  private withinBudget(
+    schedulers: readonly ShardScheduler[],
+  ): ShardScheduler[] {
+    return schedulers.filter(() => this.quoteBudget.tryWithdraw());
+  }
+
   /** Copies a job with its age and remaining time updated to now. */
   private withElapsedTime(job: ScheduledJob, sinceMs: number): ScheduledJob {
     const spentMs = this.opts.clock.now() - sinceMs;
