Wake idle instances less often

Change: the dialling task of a peer sleeps until its link is lost; checks of a scheduler without jobs each 200 ms, a target that has gone is removed with its report; the list of instances each 4 s once nothing new is found; new targets are assigned by a task that runs only while some are pending; lag samples each 100 ms.

--- a/packages/daemon/src/cluster_node/peer_discovery.ts
+++ b/packages/daemon/src/cluster_node/peer_discovery.ts
@@ -7,8 +7,16 @@
 import type {ControlState} from '@papayarun/releases';
 import type {PeerDiscoveryOptions} from './peer_discovery_options.js';
 
-/** Interval of `listInstances` calls to state instances, in milliseconds. */
+/**
+ * Interval of `listInstances` calls to state instances while new instances are
+ * found, in milliseconds.
+ */
 const REFRESH_INTERVAL_MS = 1_000;
+/**
+ * Longest interval of `listInstances` calls, in milliseconds; a fraction of the
+ * time after which an instance is removed.
+ */
+const MAX_REFRESH_INTERVAL_MS = 4_000;
 const LIST_INSTANCES_TIMEOUT_MS = 1_000;
 /**
  * Time after which an instance that no peer has heard from is removed, in
@@ -19,8 +27,9 @@
 /**
  * Discovers the other instances, starting from a few seeds.
  *
- * @description Once a second, each instance asks one linked state instance for
- * the instances that it has heard from. There is no stored member list; the
+ * @description Each instance asks one linked state instance after the other for
+ * the instances that it has heard from, once a second while it learns of new
+ * ones and less often otherwise. There is no stored member list; the
  * voters of the replicated log are recorded in the log itself.
  */
 export class PeerDiscovery {
@@ -30,6 +39,8 @@
   >();
   private readonly stopping = new AbortController();
   private nextPeerIndex = 0;
+  /** Whether an instance was recorded that was not known before. */
+  private hasFoundNew = false;
   private seeds: readonly InstanceId[];
 
   private constructor(private readonly opts: PeerDiscoveryOptions) {
@@ -97,6 +108,7 @@
     const nowMs = this.opts.clock.now();
     for (const instance of instances) {
       if (instance.instanceId !== this.opts.cfg.instanceId) {
+        this.hasFoundNew ||= !this.knownInstances.has(instance.instanceId);
         this.knownInstances.set(instance.instanceId, {
           instance,
           lastSeenMs: nowMs,
@@ -153,6 +165,7 @@
 
   private async refreshLoop(): Promise<void> {
     const {clock, network} = this.opts;
+    let intervalMs = REFRESH_INTERVAL_MS;
     while (!this.stopping.signal.aborted) {
       const linked = new Set(network.connectedPeers());
       const linkedStateInstances = this.stateInstances().filter(id =>
@@ -166,10 +179,15 @@
         await this.fetchInstances(to);
       }
       this.recordInstances(this.liveInstances());
-      await clock.sleep(
-        to === undefined ? REFRESH_INTERVAL_MS / 10 : REFRESH_INTERVAL_MS,
-        this.stopping.signal,
-      );
+      if (to === undefined) {
+        intervalMs = REFRESH_INTERVAL_MS / 10;
+      } else if (this.hasFoundNew) {
+        intervalMs = REFRESH_INTERVAL_MS;
+      } else {
+        intervalMs = Math.min(MAX_REFRESH_INTERVAL_MS, 2 * intervalMs);
+      }
+      this.hasFoundNew = false;
+      await clock.sleep(intervalMs, this.stopping.signal);
     }
   }
 
--- a/packages/daemon/src/loop_lag/loop_lag_meter.ts
+++ b/packages/daemon/src/loop_lag/loop_lag_meter.ts
@@ -1,9 +1,9 @@
 import type {Clock, EventLog} from '@papayarun/protocol';
 
 /** Interval of the samples, in milliseconds. */
-const SAMPLE_INTERVAL_MS = 50;
+const SAMPLE_INTERVAL_MS = 100;
 /** Factor by which a past lag decreases with each sample. */
-const DECAY_PER_SAMPLE = 0.7;
+const DECAY_PER_SAMPLE = 0.5;
 /** Lag from which it is logged, in milliseconds. */
 const LOGGED_LAG_MS = 200;
 /** Shortest time between two log lines, in milliseconds. */
--- a/packages/daemon/src/state_instance/target_assigner.ts
+++ b/packages/daemon/src/state_instance/target_assigner.ts
@@ -15,6 +15,8 @@
 export class TargetAssigner {
   private readonly pending = new Map<TargetId, DataCentreId>();
   private readonly stopping = new AbortController();
+  private isStarted = false;
+  private isLooping = false;
 
   private constructor(private readonly opts: TargetAssignerOptions) {}
 
@@ -31,6 +33,7 @@
   }
 
   start(): void {
+    this.isStarted = true;
     void this.loop();
   }
 
@@ -54,6 +57,9 @@
       return shardIdOf(dataCentre, 0);
     }
     this.pending.set(targetId, dataCentre);
+    if (this.isStarted && !this.isLooping) {
+      void this.loop();
+    }
     return undefined;
   }
 
@@ -70,9 +76,11 @@
       );
   }
 
+  /** Assigns targets until none is pending. */
   private async loop(): Promise<void> {
     const {signal} = this.stopping;
-    while (!signal.aborted) {
+    this.isLooping = true;
+    while (!signal.aborted && this.pending.size > 0) {
       await this.opts.clock.sleep(ASSIGN_INTERVAL_MS, signal);
       const byDataCentre = new Map<DataCentreId, TargetId[]>();
       for (const [targetId, dataCentre] of this.pending) {
@@ -88,6 +96,7 @@
         ),
       );
     }
+    this.isLooping = false;
   }
 
   private async assign(
--- a/packages/membership/src/ws_peer_network/ws_peer_network.test.ts
+++ b/packages/membership/src/ws_peer_network/ws_peer_network.test.ts
@@ -1,6 +1,7 @@
 import type {InstanceId, JobId} from '@papayarun/protocol';
 import {SeededRandom, SystemClock} from '@papayarun/protocol';
 import {afterEach, describe, expect, it} from 'vitest';
+import type {WebSocket} from 'ws';
 import {WsPeerNetwork} from './ws_peer_network.js';
 
 const HOST = '127.0.0.1';
@@ -106,4 +107,34 @@
       expect(received).toBe(2);
     }
   });
+
+  it('dials a peer again when the link that the peer had dialled is lost', async () => {
+    const [a, b] = [await openNetwork('a'), await openNetwork('b')];
+    networks.push(a, b);
+    await connect(a, b);
+    b.addDiscoveredPeer({
+      instanceId: a.self,
+      dataCentre: '' as never,
+      host: HOST,
+      port: a.port,
+      replica: false,
+    });
+    a.removeDiscoveredPeer(b.self);
+    await new Promise(resolve => setTimeout(resolve, 300));
+    // Closes the only link, which `a` had dialled and no longer dials.
+    for (const socket of acceptedSockets(b)) {
+      socket.terminate();
+    }
+    await new Promise(resolve => setTimeout(resolve, 20));
+    while (b.connectedPeers().length === 0) {
+      await new Promise(resolve => setTimeout(resolve, 5));
+    }
+    expect(b.connectedPeers()).toEqual(['a']);
+  });
 });
+
+/** Sockets of the links that other instances have dialled. */
+function acceptedSockets(network: WsPeerNetwork): Iterable<WebSocket> {
+  return (network as unknown as {server: {clients: Set<WebSocket>}}).server
+    .clients;
+}
--- a/packages/membership/src/ws_peer_network/ws_peer_network.ts
+++ b/packages/membership/src/ws_peer_network/ws_peer_network.ts
@@ -36,6 +36,8 @@
   private readonly callHandlers = new Map<string, CallHandler>();
   private readonly noticeHandlers = new Map<string, NoticeHandler>();
   private readonly stopping = new AbortController();
+  /** Aborted when the link to a peer is lost, for those that wait for it. */
+  private readonly linkDownWaits = new Map<InstanceId, AbortController>();
   /** Peers that were discovered at run time, with the controller that ends dialling. */
   private readonly discoveredPeers = new Map<InstanceId, AbortController>();
 
@@ -199,7 +201,9 @@
     while (!stopSignal.aborted) {
       const startedMs = this.opts.clock.now();
       try {
-        if (!this.links.has(peer.instanceId)) {
+        if (this.links.has(peer.instanceId)) {
+          await this.waitForLinkDown(peer.instanceId, stopSignal);
+        } else {
           await this.dialOnce(peer);
         }
       } catch (err) {
@@ -215,6 +219,23 @@
     }
   }
 
+  /** Waits until a link that the peer has dialled is lost. */
+  private async waitForLinkDown(
+    peer: InstanceId,
+    stopSignal: AbortSignal,
+  ): Promise<void> {
+    const wait = this.linkDownWaits.get(peer) ?? new AbortController();
+    this.linkDownWaits.set(peer, wait);
+    const stop = (): void => wait.abort();
+    stopSignal.addEventListener('abort', stop, {once: true});
+    if (!wait.signal.aborted && !stopSignal.aborted) {
+      await new Promise<void>(resolve =>
+        wait.signal.addEventListener('abort', () => resolve(), {once: true}),
+      );
+    }
+    stopSignal.removeEventListener('abort', stop);
+  }
+
   private async dialOnce(peer: PeerAddress): Promise<void> {
     const host = peer.host.includes(':') ? `[${peer.host}]` : peer.host;
     const socket = new WebSocket(`ws://${host}:${peer.port}`, {
@@ -284,6 +305,8 @@
     );
     if (this.links.get(peer) === link) {
       this.links.delete(peer);
+      this.linkDownWaits.get(peer)?.abort();
+      this.linkDownWaits.delete(peer);
     }
     this.opts.observer.linkDown(peer, reason);
   }
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -38,6 +38,8 @@
  * Period of the checks for stragglers and passed deadlines, in milliseconds.
  */
 const WATCH_PERIOD_MS = 40;
+/** Period of the checks while there are no jobs, in milliseconds. */
+const IDLE_WATCH_PERIOD_MS = 200;
 /**
  * Multiple of the expected run time after which the target is asked about a
  * run. `OVERDUE_SLACK_MS` is added to it.
@@ -252,6 +254,7 @@
           state: report.state,
         });
       }
+      this.checkSession(session, this.opts.clock.now());
       this.schedulePlacement();
       return true;
     }
@@ -776,7 +779,9 @@
 
   private async watchLoop(ending: AbortSignal): Promise<void> {
     while (!ending.aborted) {
-      await this.opts.clock.sleep(WATCH_PERIOD_MS, ending);
+      const periodMs =
+        this.jobs.size > 0 ? WATCH_PERIOD_MS : IDLE_WATCH_PERIOD_MS;
+      await this.opts.clock.sleep(periodMs, ending);
       if (ending.aborted) {
         return;
       }
