Send the log, heartbeats and reports of targets in fewer messages

Change: log lines are flushed each 100 ms and before a process exits; all heartbeats only to the leader, which grants by them, every third to others and every fifth between entries; an unchanged report is passed on each 4 s, a changed one or one to a new grant at once.

--- a/packages/daemon/src/bounded_output/bounded_output.test.ts
+++ b/packages/daemon/src/bounded_output/bounded_output.test.ts
@@ -7,6 +7,19 @@
 const SETTLE_MS = 200;
 
 describe('BoundedOutput', () => {
+  it('writes the lines of the last moments when it is drained', async () => {
+    const folder = await mkdtemp(join(tmpdir(), 'papayarun-'));
+    const path = join(folder, 'out');
+    const handle = await open(path, 'w');
+    const out = BoundedOutput.create(handle.fd, n => `dropped ${n}\n`);
+    out.write('draining\n');
+    out.write('stopped\n');
+    await out.drain();
+    expect(await readFile(path, 'utf8')).toBe('draining\nstopped\n');
+    await handle.close();
+    await rm(folder, {recursive: true});
+  });
+
   it('drops and counts the lines beyond the limit per second', async () => {
     const folder = await mkdtemp(join(tmpdir(), 'papayarun-'));
     const path = join(folder, 'out');
--- a/packages/daemon/src/bounded_output/bounded_output.ts
+++ b/packages/daemon/src/bounded_output/bounded_output.ts
@@ -6,8 +6,13 @@
 const MAX_LINES_PER_SECOND = 1_000;
 /** Length of the window over which the line rate is limited, in ms. */
 const RATE_WINDOW_MS = 1_000;
-/** Delay before a flush, in ms, so that several lines go out in one write. */
-const FLUSH_DELAY_MS = 20;
+/**
+ * Delay before a flush, in ms, so that many lines go out in one write, which costs
+ * several wake-ups. A process that is killed loses the lines of this time.
+ */
+const FLUSH_DELAY_MS = 100;
+
+const DRAIN_POLL_MS = 5;
 
 /**
  * Writes lines to a file descriptor without blocking on a slow reader.
@@ -79,6 +84,14 @@
     }
   }
 
+  /** Writes the queued lines without delay; resolves when they are written. */
+  async drain(): Promise<void> {
+    this.flush();
+    while (this.isWriting) {
+      await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS));
+    }
+  }
+
   private flush(): void {
     if (this.isWriting || this.pendingLines.length === 0) {
       return;
--- a/packages/daemon/src/cluster_node/cluster_node.ts
+++ b/packages/daemon/src/cluster_node/cluster_node.ts
@@ -5,6 +5,7 @@
 import {ControlClient} from '../control_client/control_client.js';
 import {LoopLagMeter} from '../loop_lag/loop_lag_meter.js';
 import type {ClusterNodeOptions} from './cluster_node_options.js';
+import {intervalsBetweenHeartbeats} from './intervals_between_heartbeats.js';
 import {PeerDiscovery} from './peer_discovery.js';
 
 const MAX_FRAME_BYTES = 32 * 1024 * 1024;
@@ -13,11 +14,6 @@
 const LEADER_TIMEOUT_MS = 3_000;
 /** Number of checks for silent links in the time that makes one silent. */
 const LINK_CHECKS_PER_TIMEOUT = 4;
-/**
- * Number of heartbeat intervals between two heartbeats on links that no grant
- * depends on.
- */
-const SLOW_HEARTBEAT_INTERVALS = 3;
 const EMPTY_DIGEST = {own: {}, dataCentre: {}};
 
 /**
@@ -163,8 +159,8 @@
     network,
     clock: opts.clock,
     heartbeatMs: cfg.heartbeatMs,
-    intervalsBetweenHeartbeats: ({role}) =>
-      role === 'state' ? 1 : SLOW_HEARTBEAT_INTERVALS,
+    intervalsBetweenHeartbeats: peer =>
+      intervalsBetweenHeartbeats(cfg.role, peer),
     timeoutMs: cfg.peerTimeoutMs,
     ownState: opts.state,
     heartbeatFields: () => ({
@@ -174,6 +170,7 @@
       currentAgeMs: Number.MAX_SAFE_INTEGER,
       digest: EMPTY_DIGEST,
       maxTargets: opts.maxTargets,
+      leads: node().replica?.isLeader,
     }),
     onHeartbeat: (from, heartbeat) =>
       void node().control.pullMissingState(from, heartbeat),
--- a/packages/daemon/src/state_instance/state_instance.ts
+++ b/packages/daemon/src/state_instance/state_instance.ts
@@ -186,7 +186,7 @@
       clock: opts.clock,
       log: opts.log,
       shardOf: (id, dataCentre) => this.assigner.shardOf(id, dataCentre),
-      schedulerOf: shard => store.state.schedulers[shard]?.instanceId,
+      grantOf: shard => store.state.schedulers[shard],
     });
     this.assigner = TargetAssigner.create({
       clock: opts.clock,
--- a/packages/daemon/src/state_instance/target_directory.test.ts
+++ b/packages/daemon/src/state_instance/target_directory.test.ts
@@ -40,12 +40,14 @@
   );
   readonly entry = this.network.join(ENTRY);
   scheduler: InstanceId | undefined = ENTRY;
+  token = 1;
   readonly directory = TargetDirectory.create({
     network: this.network.join(STATE),
     clock: this.clock,
     log: SilentLog.create(),
     shardOf: () => 'centro' as ShardId,
-    schedulerOf: () => this.scheduler,
+    grantOf: () =>
+      this.scheduler && {instanceId: this.scheduler, token: this.token},
   });
 
   async accept(incoming: TargetReport): Promise<boolean> {
@@ -82,6 +84,28 @@
     expect(fixture.directory.latestReport('t1' as TargetId)?.bornMs).toBe(11);
   });
 
+  it('forwards reports without changes less often, and any change or new scheduler at once', async () => {
+    const fixture = new Fixture();
+    let forwarded = 0;
+    fixture.entry.onCall('reportTarget', () => {
+      forwarded++;
+      return Promise.resolve({accepted: true});
+    });
+    for (let sequence = 1; sequence <= 4; sequence++) {
+      await fixture.accept(report({sequence}));
+    }
+    expect(forwarded).toBe(1);
+    for (let sequence = 5; sequence <= 8; sequence++) {
+      await fixture.accept(report({sequence}));
+    }
+    expect(forwarded).toBe(2);
+    await fixture.accept(report({sequence: 9, labels: ['x']}));
+    expect(forwarded).toBe(3);
+    fixture.token = 2;
+    await fixture.accept(report({sequence: 10, labels: ['x']}));
+    expect(forwarded).toBe(4);
+  });
+
   it('removes the report of a silent target', async () => {
     const fixture = new Fixture();
     fixture.scheduler = undefined;
--- a/packages/daemon/src/state_instance/target_directory.ts
+++ b/packages/daemon/src/state_instance/target_directory.ts
@@ -1,3 +1,4 @@
+import {isDeepStrictEqual} from 'node:util';
 import type {ShardId, TargetId, TargetReport} from '@papayarun/protocol';
 import {shardIdOf} from '@papayarun/protocol';
 import type {TargetDirectoryOptions} from './target_directory_options.js';
@@ -7,6 +8,20 @@
 /** Timeout of forwarding a report to a scheduler, in milliseconds. */
 const FORWARD_TIMEOUT_MS = 700;
 
+/**
+ * Interval at which a report without changes is forwarded, in milliseconds; less
+ * than half of the time after which a scheduler removes a silent target.
+ */
+const FORWARD_INTERVAL_MS = 4_000;
+
+/** Report that a scheduler has accepted. */
+interface ForwardedReport {
+  /** Fencing token of the scheduler's grant. */
+  readonly token: number;
+  readonly report: TargetReport;
+  readonly atMs: number;
+}
+
 /**
  * Keeps the latest report of each target and forwards it to its scheduler.
  */
@@ -15,6 +30,8 @@
     TargetId,
     {readonly report: TargetReport; readonly receivedMs: number}
   >();
+  /** Last report of each target that its scheduler has accepted. */
+  private readonly forwarded = new Map<TargetId, ForwardedReport>();
 
   private constructor(private readonly opts: TargetDirectoryOptions) {}
 
@@ -65,6 +82,9 @@
       // No scheduler uses the target yet.
       return true;
     }
+    if (report.state === 'ready' && this.isKnown(shard, report, receivedMs)) {
+      return true;
+    }
     const forwarded = this.forward(shard, report);
     return report.state === 'ready' ? true : forwarded;
   }
@@ -83,6 +103,7 @@
     for (const [id, {receivedMs}] of this.reports) {
       if (nowMs - receivedMs > REPORT_TTL_MS) {
         this.reports.delete(id);
+        this.forwarded.delete(id);
       }
     }
   }
@@ -96,19 +117,43 @@
       );
   }
 
+  /**
+   * Whether the scheduler of a shard has accepted an equal report a short time
+   * ago.
+   */
+  private isKnown(
+    shard: ShardId,
+    report: TargetReport,
+    nowMs: number,
+  ): boolean {
+    const last = this.forwarded.get(report.targetId);
+    return (
+      last !== undefined &&
+      nowMs - last.atMs < FORWARD_INTERVAL_MS &&
+      last.token === this.opts.grantOf(shard)?.token &&
+      isDeepStrictEqual({...last.report, sequence: 0}, {...report, sequence: 0})
+    );
+  }
+
   private async forward(
     shard: ShardId,
     report: TargetReport,
   ): Promise<boolean> {
-    const to = this.opts.schedulerOf(shard);
-    if (to === undefined) {
+    const grant = this.opts.grantOf(shard);
+    if (!grant) {
       return true;
     }
+    const {instanceId: to, token} = grant;
     const req = {report, shard};
     const opts = {timeoutMs: FORWARD_TIMEOUT_MS};
     try {
       const {network} = this.opts;
-      return (await network.call(to, 'reportTarget', req, opts)).accepted;
+      const {accepted} = await network.call(to, 'reportTarget', req, opts);
+      if (accepted) {
+        const atMs = this.opts.clock.now();
+        this.forwarded.set(report.targetId, {token, report, atMs});
+      }
+      return accepted;
     } catch (err) {
       if (report.state !== 'ready') {
         this.opts.log.emit('reportNotPassedOn', {
--- a/packages/daemon/src/state_instance/target_directory_options.ts
+++ b/packages/daemon/src/state_instance/target_directory_options.ts
@@ -2,11 +2,11 @@
   Clock,
   DataCentreId,
   EventLog,
-  InstanceId,
   PeerNetwork,
   ShardId,
   TargetId,
 } from '@papayarun/protocol';
+import type {SchedulerGrant} from '@papayarun/releases';
 
 /**
  * Options of a target directory.
@@ -20,6 +20,8 @@
     targetId: TargetId,
     dataCentre: DataCentreId,
   ) => ShardId | undefined;
-  /** Instance that holds the grant of a shard, if any. */
-  readonly schedulerOf: (shard: ShardId) => InstanceId | undefined;
+  /** Grant in force of a shard, if any. */
+  readonly grantOf: (
+    shard: ShardId,
+  ) => Pick<SchedulerGrant, 'instanceId' | 'token'> | undefined;
 }
--- a/packages/protocol/src/messages/heartbeat.ts
+++ b/packages/protocol/src/messages/heartbeat.ts
@@ -21,6 +21,8 @@
    * versions that send all heartbeats at the same interval.
    */
   readonly intervalMs?: number;
+  /** Whether the instance leads the replicated log; absent if not. */
+  readonly leads?: boolean;
   /**
    * Number of targets that the instance can schedule, 0 on state instances.
    * Absent in versions that schedule whole data centres instead of shards.
