--- a/packages/protocol/src/event_log/event_catalogue.ts
+++ b/packages/protocol/src/event_log/event_catalogue.ts
@@ -139,7 +139,7 @@
   schedulerGranted: {
     number: 3014,
     level: 'info',
-    text: 'leader granted, or failed to grant, the scheduler role of a data centre',
+    text: 'leader granted, or failed to grant, the scheduler role of a shard',
   },
   viewProposed: {
     number: 4001,
@@ -328,12 +328,12 @@
   schedulerBegun: {
     number: 7004,
     level: 'info',
-    text: 'this instance became scheduler of the data centre under a new fencing token',
+    text: 'this instance became scheduler of a shard under a new fencing token',
   },
   schedulerEnded: {
     number: 7005,
     level: 'info',
-    text: 'this instance is no longer scheduler of the data centre',
+    text: 'this instance is no longer scheduler of a shard',
   },
   schedulerFenced: {
     number: 7006,
@@ -343,7 +343,7 @@
   schedulerLost: {
     number: 7007,
     level: 'warn',
-    text: 'scheduler of a data centre is unreachable',
+    text: 'scheduler of a shard is unreachable',
   },
   badRequest: {
     number: 8001,
