Link to the successor of a scheduler whatever link the former one used

Cause: entries link to some schedulers only and use those that link to them as well; when such a one hands over its jobs, the entry has no link to the next holder of the shard and answers 504 after 1.2 s. Found by reading. Change: waiting for a successor opens a link to it. Test: scheduler_finder.test.ts, undefined without the link.

--- a/packages/daemon/src/cluster_node/peer_discovery.ts
+++ b/packages/daemon/src/cluster_node/peer_discovery.ts
@@ -152,6 +152,11 @@
     }
   }
 
+  /** Opens a link to an instance, if there is none. */
+  linkTo(id: InstanceId): void {
+    this.opts.network.addDiscoveredPeer(addressOf(id));
+  }
+
   private liveInstances(): KnownInstance[] {
     return this.opts
       .membership()
--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -151,6 +151,7 @@
       store,
       network,
       membership,
+      linkTo: id => this.node.discovery.linkTo(id),
       ownToken: shard => this.schedulers.token(shard),
     });
     this.submitter = this.createSubmitter(opts.cfg.instanceId);
--- a/packages/daemon/src/entry_instance/scheduler_finder.test.ts
+++ b/packages/daemon/src/entry_instance/scheduler_finder.test.ts
@@ -1,6 +1,7 @@
-import type {DataCentreId, InstanceId} from '@papayarun/protocol';
+import type {DataCentreId, InstanceId, ShardId} from '@papayarun/protocol';
 import {SeededRandom} from '@papayarun/protocol';
-import {ControlStore} from '@papayarun/releases';
+import type {SchedulerGrant} from '@papayarun/releases';
+import {ControlStore, EMPTY_CONTROL_STATE} from '@papayarun/releases';
 import {VirtualClock} from '@papayarun/test_kit';
 import {describe, expect, it} from 'vitest';
 import type {NodeSettings} from '../cluster_node/node_settings.js';
@@ -8,18 +9,23 @@
 
 const SELF = 'centro-1:7720' as InstanceId;
 
-function finderAt(clock: VirtualClock): SchedulerFinder {
+function finderAt(
+  clock: VirtualClock,
+  store: Pick<ControlStore, 'state'> = ControlStore.create(),
+  links: InstanceId[] = [],
+): SchedulerFinder {
   const cfg: Partial<NodeSettings> = {
     instanceId: SELF,
     dataCentre: 'centro' as DataCentreId,
   };
   return SchedulerFinder.create({
     cfg: cfg as NodeSettings,
-    store: ControlStore.create(),
-    network: {connectedPeers: () => []},
-    membership: {isAlive: () => false},
+    store: store as ControlStore,
+    network: {connectedPeers: () => links},
+    membership: {isAlive: id => links.includes(id)},
     clock,
     random: SeededRandom.create(1),
+    linkTo: id => links.push(id),
     ownToken: () => undefined,
   });
 }
@@ -44,4 +50,28 @@
     finder.recordGrants([7]);
     expect(finder.isTakeoverRefusal('noTargets')).toBe(false);
   });
+
+  it('links to the successor of a scheduler that had dialled this instance', async () => {
+    const clock = VirtualClock.create();
+    const shard = 'centro#1' as ShardId;
+    const grantOf = (name: string, token: number): SchedulerGrant => ({
+      instanceId: name as InstanceId,
+      boot: 'b' as SchedulerGrant['boot'],
+      token,
+    });
+    const store = {
+      state: {
+        ...EMPTY_CONTROL_STATE,
+        schedulers: {[shard]: grantOf('next', 2)},
+      },
+    };
+    const finder = finderAt(clock, store);
+    let successor: SchedulerGrant | undefined;
+    const {signal} = new AbortController();
+    void finder
+      .waitForSuccessor(shard, grantOf('former', 1), signal)
+      .then(grant => (successor = grant));
+    await clock.advance(50);
+    expect(successor).toEqual(grantOf('next', 2));
+  });
 });
--- a/packages/daemon/src/entry_instance/scheduler_finder.ts
+++ b/packages/daemon/src/entry_instance/scheduler_finder.ts
@@ -118,6 +118,11 @@
     const {clock} = this.opts;
     const startedMs = clock.now();
     while (!signal.aborted && clock.now() - startedMs < MAX_SUCCESSOR_WAIT_MS) {
+      const grant = this.opts.store.state.schedulers[shard];
+      if (grant && grant.token > previous.token) {
+        // The former holder may have been reached by a link that it had dialled.
+        this.opts.linkTo(grant.instanceId);
+      }
       const successor = this.reachable().find(
         scheduler => scheduler.shard === shard,
       );
--- a/packages/daemon/src/entry_instance/scheduler_finder_options.ts
+++ b/packages/daemon/src/entry_instance/scheduler_finder_options.ts
@@ -1,6 +1,7 @@
 import type {Membership} from '@papayarun/membership';
 import type {
   Clock,
+  InstanceId,
   PeerNetwork,
   RandomSource,
   ShardId,
@@ -18,6 +19,8 @@
   readonly membership: Pick<Membership, 'isAlive'>;
   readonly clock: Clock;
   readonly random: RandomSource;
+  /** Opens a link to an instance, if there is none. */
+  readonly linkTo: (instance: InstanceId) => void;
   /** Fencing token under which this instance schedules a shard, if it does. */
   readonly ownToken: (shard: ShardId) => number | undefined;
 }
