--- a/packages/daemon/src/state_instance/state_instance.ts
+++ b/packages/daemon/src/state_instance/state_instance.ts
@@ -133,6 +133,8 @@
       leader: Number(this.replica.isLeader),
       log_term: this.replica.log.term,
       commit_index: this.replica.log.commitIndex,
+      log_voters: this.replica.log.replicas.voters.length,
+      log_learners: this.replica.log.replicas.learners.length,
       known_targets: this.targetDirectory.size,
       configuration_revision: this.store.state.configuration?.revision ?? 0,
     };
--- a/packages/protocol/src/event_log/event_catalogue.ts
+++ b/packages/protocol/src/event_log/event_catalogue.ts
@@ -136,6 +136,11 @@
     level: 'error',
     text: 'leader refused a command that could not be applied',
   },
+  electionLost: {
+    number: 3017,
+    level: 'warn',
+    text: 'candidate got no majority; the event has the reply of each voter',
+  },
   logNotFormed: {
     number: 3015,
     level: 'info',
--- a/packages/replication/src/replica/gather_votes.ts
+++ b/packages/replication/src/replica/gather_votes.ts
@@ -1,7 +1,11 @@
+import type {InstanceId, ReplicaRef, VoteCall} from '@papayarun/protocol';
 import {isQuorum} from '../quorum/is_quorum.js';
 import type {ReplicaLog} from '../replica_log/replica_log.js';
 import type {ReplicaOptions} from './replica_options.js';
 
+/** Reply of a voter to a vote request. */
+type VoteReply = 'granted' | 'rejected' | 'unanswered';
+
 /** One round of vote requests of a candidate. */
 export interface VoteRound {
   readonly term: number;
@@ -30,24 +34,12 @@
 ): Promise<boolean> {
   const {voters} = log.replicas;
   const others = voters.filter(ref => ref.replicaId !== log.replicaId);
+  const replies = new Map<InstanceId, VoteReply>();
   let granted = voters.length - others.length;
   const responses = others.map(async ref => {
-    const req = {
-      to: ref.replicaId,
-      candidate: log.replicaId,
-      pre: round.isPreVote,
-      term: round.term,
-      lastIndex: log.lastIndex,
-      lastTerm: log.lastTerm,
-    };
-    const timeoutMs = opts.electionTimeoutMs / 2;
-    const res = await opts.network.call(ref.instanceId, 'vote', req, {
-      timeoutMs,
-    });
-    granted += res.granted ? 1 : 0;
-    if (res.term > log.term) {
-      await round.onHigherTerm(res.term);
-    }
+    const reply = await requestVote(opts, log, round, ref);
+    replies.set(ref.instanceId, reply);
+    granted += Number(reply === 'granted');
     if (!isQuorum(granted, voters.length)) {
       throw new Error('no majority yet');
     }
@@ -57,6 +49,43 @@
   }
   return Promise.any(responses).then(
     () => true,
-    () => false,
+    () => {
+      opts.log.emit('electionLost', {
+        term: round.term,
+        isPreVote: round.isPreVote,
+        granted,
+        voters: voters.length,
+        replies: Object.fromEntries(replies),
+      });
+      return false;
+    },
   );
 }
+
+async function requestVote(
+  {network, electionTimeoutMs}: ReplicaOptions,
+  log: ReplicaLog,
+  {term, isPreVote, onHigherTerm}: VoteRound,
+  {instanceId, replicaId}: ReplicaRef,
+): Promise<VoteReply> {
+  const req: VoteCall['req'] = {
+    to: replicaId,
+    candidate: log.replicaId,
+    pre: isPreVote,
+    term,
+    lastIndex: log.lastIndex,
+    lastTerm: log.lastTerm,
+  };
+  let res: VoteCall['res'];
+  try {
+    res = await network.call(instanceId, 'vote', req, {
+      timeoutMs: electionTimeoutMs / 2,
+    });
+  } catch {
+    return 'unanswered';
+  }
+  if (res.term > log.term) {
+    await onHigherTerm(res.term);
+  }
+  return res.granted ? 'granted' : 'rejected';
+}
--- a/packages/replication/src/replica/replica_rules.test.ts
+++ b/packages/replication/src/replica/replica_rules.test.ts
@@ -25,6 +25,7 @@
 class ReplicaFixture {
   readonly clock = VirtualClock.create();
   readonly applied: number[] = [];
+  readonly log = SilentLog.create();
   readonly b: MemoryNetworkEnd;
   readonly c: MemoryNetworkEnd;
   replica!: Replica;
@@ -44,7 +45,7 @@
       clock: this.clock,
       random: this.random,
       disk: this.disk.open(),
-      log: SilentLog.create(),
+      log: this.log,
       replicaInstances: [A, B, C],
       electionTimeoutMs: ELECTION_TIMEOUT_MS,
       compactAfterEntries: 1_000,
@@ -200,4 +201,21 @@
     expect(res).toMatchObject({ok: false, term: 9});
     expect(fixture.applied).toEqual([]);
   });
+
+  it('logs the reply of each voter to a lost election', async () => {
+    const fixture = new ReplicaFixture();
+    await fixture.open();
+    await fixture.form();
+    fixture.b.onCall('vote', () => Promise.resolve({term: 0, granted: false}));
+    fixture.replica.start();
+    await fixture.clock.advance(3 * ELECTION_TIMEOUT_MS);
+    const lost = fixture.log.events.find(e => e.name === 'electionLost');
+    expect(lost?.fields).toEqual({
+      term: 1,
+      isPreVote: true,
+      granted: 1,
+      voters: 3,
+      replies: {[B]: 'rejected', [C]: 'unanswered'},
+    });
+  });
 });
