--- a/packages/replication/src/replica/replica.test.ts
+++ b/packages/replication/src/replica/replica.test.ts
@@ -20,6 +20,13 @@
  * 500 ms.
  */
 const ACKNOWLEDGE_MS = 8 * ELECTION_TIMEOUT_MS;
+/** Time after which a replacement has started: 1 s at an election timeout of 500 ms. */
+const REPLACEMENT_DELAY_MS = 2 * ELECTION_TIMEOUT_MS;
+/**
+ * Time after the start of a replacement in which it has to take the place of the
+ * replica that is gone: 4 s at an election timeout of 500 ms.
+ */
+const CATCH_UP_MS = 8 * ELECTION_TIMEOUT_MS;
 /** Number of runs and seed; the environment overrides them for longer runs outside CI. */
 const RUNS = Number(process.env['PAPAYARUN_RUNS'] ?? 120);
 const SEED = Number(process.env['PAPAYARUN_SEED'] ?? 20);
@@ -44,19 +51,49 @@
   readonly committed: string[] = [];
   private readonly random;
   private readonly net;
+  /** Instances that other ones know of, including those that are gone. */
+  private readonly knownInstances: InstanceId[] = [];
   private replicaCount = 0;
 
   constructor(seed: number) {
     this.random = SeededRandom.create(seed);
     this.net = MemoryNetwork.create(this.clock, this.random, MAX_DELAY_MS);
-    this.nodes = INSTANCE_IDS.map(name => ({
+    this.nodes = INSTANCE_IDS.map(name => this.createNode(name));
+  }
+
+  private createNode(name: InstanceId): Node {
+    this.knownInstances.push(name);
+    return {
       name,
       disk: MemoryDisk.create(this.clock, this.random, SYNC_MS),
       replica: undefined,
       applied: new Map<number, string>(),
       highestApplied: 0,
       starting: false,
-    }));
+    };
+  }
+
+  /** Starts an instance with an empty disk at an address of its own. */
+  async add(): Promise<Node> {
+    const node = this.createNode(
+      `n${this.knownInstances.length}` as InstanceId,
+    );
+    this.nodes.push(node);
+    await this.start(node);
+    return node;
+  }
+
+  /** Ends an instance for good. */
+  async remove(node: Node): Promise<void> {
+    await this.crash(node);
+    this.nodes.splice(this.nodes.indexOf(node), 1);
+  }
+
+  /** Replaces an instance by an empty one at another address. */
+  async replace(node: Node): Promise<Node> {
+    await this.remove(node);
+    await this.clock.advance(REPLACEMENT_DELAY_MS);
+    return this.add();
   }
 
   async form(): Promise<void> {
@@ -107,7 +144,7 @@
       random: this.random,
       disk: node.disk.open(),
       log: this.log,
-      replicaInstances: INSTANCE_IDS,
+      replicaInstances: this.knownInstances,
       electionTimeoutMs: ELECTION_TIMEOUT_MS,
       compactAfterEntries: COMPACT_AFTER,
       makeReplicaId: () => `${node.name}${++this.replicaCount}` as ReplicaId,
@@ -189,6 +226,19 @@
     return leaders.sort((a, b) => b.replica!.log.term - a.replica!.log.term)[0];
   }
 
+  /** Checks that a change is committed in the time that an operator waits. */
+  async expectCommitInTime(): Promise<void> {
+    const before = this.committed.length;
+    const intervalMs = ELECTION_TIMEOUT_MS / 2;
+    for (let ms = 0; ms < ACKNOWLEDGE_MS; ms += intervalMs) {
+      this.nodes.forEach(node =>
+        this.propose(node, `${ms} ms at ${node.name}`),
+      );
+      await this.clock.advance(intervalMs);
+    }
+    expect(this.committed.length).toBeGreaterThan(before);
+  }
+
   /**
    * Heals the network, then checks that all replicas hold each committed
    * command exactly once.
@@ -217,7 +267,7 @@
     const ids = this.leader()!.replica!.log.replicas.voters.map(
       ref => ref.replicaId,
     );
-    expect(ids.length).toBe(INSTANCE_IDS.length);
+    expect(ids.length).toBe(this.nodes.length);
   }
 
   private apply(node: Node, index: number, text: string): Uint8Array {
@@ -479,4 +529,75 @@
       await cluster.healAndVerify();
     }
   });
+
+  // The replica that was gone stayed a voter, so two of four voters were missing
+  // after the next loss and the log had no leader any more.
+  describe('after a replica was replaced at another address', () => {
+    const losses = {
+      ends: (cluster: TestCluster, node: Node) => cluster.crash(node),
+      'is cut off': (cluster: TestCluster, node: Node) =>
+        Promise.resolve(cluster.partition(node, true)),
+      'loses its disk': async (cluster: TestCluster, node: Node) => {
+        await cluster.crash(node);
+        node.disk.lose();
+        node.highestApplied = 0;
+        await cluster.start(node);
+      },
+    };
+    for (const [name, lose] of Object.entries(losses)) {
+      it(`commits changes when another one ${name}`, async () => {
+        for (let seed = 61; seed < 67; seed++) {
+          const cluster = await formedCluster(seed);
+          const isLeaderReplaced = seed % 2 === 0;
+          await cluster.replace(
+            cluster.nodes.find(
+              node => (node === cluster.leader()) === isLeaderReplaced,
+            )!,
+          );
+          await cluster.clock.advance(CATCH_UP_MS);
+          await lose(cluster, cluster.nodes[seed % 3]!);
+          await cluster.expectCommitInTime();
+          await cluster.healAndVerify();
+        }
+      });
+    }
+
+    it('commits changes when the successor came first', async () => {
+      for (let seed = 71; seed < 75; seed++) {
+        const cluster = await formedCluster(seed);
+        await cluster.add();
+        await cluster.clock.advance(CATCH_UP_MS);
+        await cluster.remove(cluster.nodes[seed % 3]!);
+        await cluster.clock.advance(CATCH_UP_MS);
+        await cluster.crash(cluster.nodes[seed % 3]!);
+        await cluster.expectCommitInTime();
+        await cluster.healAndVerify();
+      }
+    });
+
+    it('commits changes when all others were replaced in turn, and after a restart of all', async () => {
+      for (let seed = 81; seed < 85; seed++) {
+        const cluster = await formedCluster(seed);
+        for (let n = 0; n < INSTANCE_IDS.length; n++) {
+          await cluster.replace(cluster.nodes[0]!);
+          await cluster.clock.advance(CATCH_UP_MS);
+        }
+        for (const node of [...cluster.nodes]) {
+          await cluster.crash(node);
+        }
+        for (const node of cluster.nodes.slice(seed % 2)) {
+          await cluster.start(node);
+        }
+        await cluster.expectCommitInTime();
+        await cluster.healAndVerify();
+      }
+    });
+  });
 });
+
+async function formedCluster(seed: number): Promise<TestCluster> {
+  const cluster = new TestCluster(seed);
+  await cluster.form();
+  await cluster.clock.advance(5 * ELECTION_TIMEOUT_MS);
+  return cluster;
+}
