Let a silent voter of the log make room for its successor

Cause: nextReplicaSet removed a voter only when its own address reported another replica. A voter that was gone for good stayed one, so a replacement made four voters of which three lived; the next loss left two of four and no candidate could win. The class: an entry of a departed member that counts towards a limit and that nothing removes. Change: a voter whose last acknowledgement is four election timeouts behind the majority's becomes a learner when a learner can take its place, or when the voters are even in number. It stays a member, so one that was only cut off gets the log and its vote back. More silent learners than voters are forgotten, the first first. Why it is safe: one voter a change, on a committed membership as before; the majority shrinks only where the voters are even in number.

--- a/packages/daemon/src/state_instance/state_instance.ts
+++ b/packages/daemon/src/state_instance/state_instance.ts
@@ -134,6 +134,7 @@
       log_term: this.replica.log.term,
       commit_index: this.replica.log.commitIndex,
       log_voters: this.replica.log.replicas.voters.length,
+      log_silent_voters: this.replica.silentVoters,
       log_learners: this.replica.log.replicas.learners.length,
       known_targets: this.targetDirectory.size,
       configuration_revision: this.store.state.configuration?.revision ?? 0,
--- a/packages/replication/src/index.ts
+++ b/packages/replication/src/index.ts
@@ -8,6 +8,8 @@
 export * from './journal/journal_record.js';
 export * from './next_replica_set/next_replica_set.js';
 export * from './next_replica_set/discovered_replica.js';
+export * from './next_replica_set/replica_progress.js';
+export * from './next_replica_set/replica_set_change.js';
 export * from './quorum/is_quorum.js';
 export * from './quorum/quorum_value.js';
 export * from './replica/gather_votes.js';
--- a/packages/replication/src/replica/leadership.ts
+++ b/packages/replication/src/replica/leadership.ts
@@ -13,6 +13,8 @@
 const MAX_ENTRIES_PER_APPEND = 128;
 /** Heartbeats that a leader sends per election timeout. */
 const HEARTBEATS_PER_TIMEOUT = 4;
+/** Election timeouts that a silent member's last acknowledgement is behind the majority's. */
+const SILENT_AFTER_TIMEOUTS = 4;
 
 /** Options, log and callbacks of the replica that leads. */
 export interface LeadershipContext {
@@ -37,6 +39,8 @@
   private readonly lastAckedMs = new Map<ReplicaId, number>();
   /** Replicas that have a running task. */
   private readonly replicatingTo = new Set<ReplicaId>();
+  /** Time at which the task of each replica started. */
+  private readonly replicatingSinceMs = new Map<ReplicaId, number>();
   /** Interrupts the wait of the tasks for the next heartbeat. */
   private wakeController = new AbortController();
   private readonly startedMs: number;
@@ -85,6 +89,10 @@
         !this.replicatingTo.has(ref.replicaId)
       ) {
         this.replicatingTo.add(ref.replicaId);
+        this.replicatingSinceMs.set(
+          ref.replicaId,
+          this.context.opts.clock.now(),
+        );
         void this.replicateLoop(ref);
       }
     }
@@ -98,6 +106,23 @@
     return this.matchIndexes.get(id) ?? 0;
   }
 
+  /**
+   * Whether a member has not acknowledged this leader for long. It is compared
+   * with the majority, so that no member is silent because this process paused.
+   */
+  isSilent(id: ReplicaId): boolean {
+    const {log, opts} = this.context;
+    if (id === log.replicaId) {
+      return false;
+    }
+    const heardMs = Math.max(
+      this.lastAckedMs.get(id) ?? this.startedMs,
+      this.replicatingSinceMs.get(id) ?? this.startedMs,
+    );
+    const silentAfterMs = SILENT_AFTER_TIMEOUTS * opts.electionTimeoutMs;
+    return this.quorumAckMs() - heardMs > silentAfterMs;
+  }
+
   /** Latest send time, in milliseconds, up to which a majority has acknowledged this leader. */
   quorumAckMs(): number {
     const {log, opts} = this.context;
--- a/packages/replication/src/replica/replica.ts
+++ b/packages/replication/src/replica/replica.ts
@@ -113,6 +113,17 @@
     return this.role === 'leader';
   }
 
+  /**
+   * Voters that have not acknowledged this leader for long; 0 when this replica
+   * is not the leader.
+   */
+  get silentVoters(): number {
+    const {leadership, log} = this;
+    return log.replicas.voters.filter(ref =>
+      leadership?.isSilent(ref.replicaId),
+    ).length;
+  }
+
   /**
    * Milliseconds since a majority last acknowledged this leader; Infinity when
    * this replica is not the leader or has not committed an entry of its term.
@@ -474,18 +485,20 @@
         continue;
       }
       const discovered = await discoverReplicas(this.opts);
-      const isCaughtUp = (id: ReplicaId): boolean =>
-        leadership.matchIndexOf(id) >= this.log.commitIndex;
-      const nextSet = nextReplicaSet(this.log.replicas, discovered, isCaughtUp);
+      const change = nextReplicaSet(this.log.replicas, discovered, {
+        isCaughtUp: id => leadership.matchIndexOf(id) >= this.log.commitIndex,
+        isSilent: id => leadership.isSilent(id),
+      });
       if (
-        nextSet &&
+        change &&
         !leadership.isOver &&
         this.isMembershipCommitted(leadership)
       ) {
-        this.opts.log.emit('replicaSet', {...nextSet});
+        const {kind, replicas} = change;
+        this.opts.log.emit('replicaSet', {change: kind, ...replicas});
         await this.appendAsLeader(
           leadership,
-          {kind: 'replicas', replicas: nextSet},
+          {kind: 'replicas', replicas},
           () => undefined,
         );
       }
