Dial the members of the log, however long they are silent

Operators would see: a state instance that was away for more than 30 s, and whose seeds had all been replaced meanwhile, stays out of the log though its disk is sound. Cause: discovery knows seeds and instances that somebody has heard from in the last 30 s. A member that was away is forgotten by the others, and finds no one by seeds that are gone. The other way round, former seeds were dialled for ever. Change: a state instance dials the members that its own log lists; seeds and members that are no longer listed are dialled only while somebody hears from them.

--- a/packages/daemon/src/cluster_node/cluster_node.ts
+++ b/packages/daemon/src/cluster_node/cluster_node.ts
@@ -1,6 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {Membership, WsPeerNetwork} from '@papayarun/membership';
-import type {BootId} from '@papayarun/protocol';
+import type {BootId, InstanceId, ReplicaSet} from '@papayarun/protocol';
 import type {Replica} from '@papayarun/replication';
 import {ControlClient} from '../control_client/control_client.js';
 import {LoopLagMeter} from '../loop_lag/loop_lag_meter.js';
@@ -14,6 +14,7 @@
 const LEADER_TIMEOUT_MS = 3_000;
 /** Number of checks for silent links in the time that makes one silent. */
 const LINK_CHECKS_PER_TIMEOUT = 4;
+const NO_REPLICAS: ReplicaSet = {voters: [], learners: []};
 const EMPTY_DIGEST = {own: {}, dataCentre: {}};
 
 /**
@@ -55,6 +56,7 @@
       membership: () => membership,
       clock: opts.clock,
       log: opts.log,
+      logMembers: () => logMembersOf(node.replica),
       shouldLink: peer => opts.shouldLink(peer, opts.store.state),
     });
     const node = new ClusterNode(opts, network, membership, discovery);
@@ -115,6 +117,11 @@
   }
 }
 
+function logMembersOf(replica: Replica | undefined): InstanceId[] {
+  const {voters, learners} = replica?.log.replicas ?? NO_REPLICAS;
+  return [...voters, ...learners].map(ref => ref.instanceId);
+}
+
 function openNetwork(
   opts: ClusterNodeOptions,
   node: () => ClusterNode,
--- a/packages/daemon/src/cluster_node/peer_discovery.ts
+++ b/packages/daemon/src/cluster_node/peer_discovery.ts
@@ -29,8 +29,8 @@
  *
  * @description Each instance asks one linked state instance after the other for
  * the instances that it has heard from, once a second while it learns of new
- * ones and less often otherwise. There is no stored member list; the
- * voters of the replicated log are recorded in the log itself.
+ * ones and less often otherwise. The only stored list is that of the members of
+ * the replicated log, in the log itself; a state instance dials them besides.
  */
 export class PeerDiscovery {
   private readonly knownInstances = new Map<
@@ -42,6 +42,8 @@
   /** Whether an instance was recorded that was not known before. */
   private hasFoundNew = false;
   private seeds: readonly InstanceId[];
+  /** Seeds and members of the log that are dialled, however long they are silent. */
+  private permanentPeers = new Set<InstanceId>();
 
   private constructor(private readonly opts: PeerDiscoveryOptions) {
     this.seeds = opts.cfg.seeds;
@@ -75,7 +77,7 @@
   /** State instances that may hold a replica of the log, linked ones first. */
   stateInstances(): InstanceId[] {
     const {cfg, network} = this.opts;
-    const ids = new Set<InstanceId>(this.seeds);
+    const ids = new Set<InstanceId>([...this.seeds, ...this.opts.logMembers()]);
     for (const {instance} of this.knownInstances.values()) {
       if (instance.role === 'state') {
         ids.add(instance.instanceId);
@@ -133,21 +135,34 @@
   }
 
   /**
-   * Keeps links to seeds and wanted instances, and stops dialling instances that
-   * have expired.
+   * Keeps links to seeds, members of the log and wanted instances, and stops
+   * dialling instances that have expired.
    */
   updateLinks(): void {
-    const nowMs = this.opts.clock.now();
-    for (const seed of this.seeds) {
-      this.opts.network.addDiscoveredPeer(addressOf(seed));
-    }
+    const {network, clock, shouldLink} = this.opts;
+    const nowMs = clock.now();
+    this.updatePermanentPeers();
     for (const [id, {instance, lastSeenMs}] of this.knownInstances) {
-      const isSeed = this.seeds.includes(id);
-      if (!isSeed && nowMs - lastSeenMs > INSTANCE_TTL_MS) {
+      const isExpired = nowMs - lastSeenMs > INSTANCE_TTL_MS;
+      if (isExpired && !this.permanentPeers.has(id)) {
         this.knownInstances.delete(id);
-        this.opts.network.removeDiscoveredPeer(id);
-      } else if (this.opts.shouldLink(instance)) {
-        this.opts.network.addDiscoveredPeer(addressOf(id));
+        network.removeDiscoveredPeer(id);
+      } else if (shouldLink(instance)) {
+        network.addDiscoveredPeer(addressOf(id));
+      }
+    }
+  }
+
+  private updatePermanentPeers(): void {
+    const {network, logMembers} = this.opts;
+    const previousPeers = this.permanentPeers;
+    this.permanentPeers = new Set([...this.seeds, ...logMembers()]);
+    for (const id of this.permanentPeers) {
+      network.addDiscoveredPeer(addressOf(id));
+    }
+    for (const id of previousPeers) {
+      if (!this.permanentPeers.has(id) && !this.knownInstances.has(id)) {
+        network.removeDiscoveredPeer(id);
       }
     }
   }
