Log a replica that the log doesn't admit

Cause: a state instance that returns after the log has forgotten it stays out, since its log could be another one; no line said so, as for any replica of another log. Measured: its test, red without the event. Conclusion: the one way left in which a sound disk isn't used can be seen.

--- a/packages/protocol/src/event_log/event_catalogue.ts
+++ b/packages/protocol/src/event_log/event_catalogue.ts
@@ -141,6 +141,11 @@
     level: 'warn',
     text: 'candidate got no majority; the event has the reply of each voter',
   },
+  replicaRefused: {
+    number: 3018,
+    level: 'warn',
+    text: 'replica is not admitted: it is a voter of its own log, but no member of this one',
+  },
   logNotFormed: {
     number: 3015,
     level: 'info',
--- a/packages/replication/src/replica/replica.test.ts
+++ b/packages/replication/src/replica/replica.test.ts
@@ -641,6 +641,27 @@
       }
     });
 
+    it('logs a replica that returns after the log has forgotten it', async () => {
+      const cluster = await formedCluster(98);
+      const away = cluster.nodes[0]!;
+      await cluster.remove(away);
+      await cluster.add();
+      for (let n = 0; n < INSTANCE_IDS.length; n++) {
+        await cluster.clock.advance(CATCH_UP_MS);
+        await cluster.replace(cluster.nodes[0]!);
+      }
+      await cluster.clock.advance(2 * CATCH_UP_MS);
+      cluster.nodes.push(away);
+      await cluster.start(away);
+      await cluster.clock.advance(CATCH_UP_MS);
+      const refused = cluster.log.events.filter(
+        event => event.name === 'replicaRefused',
+      );
+      expect(refused.map(event => event.fields)).toEqual([
+        {peer: away.name, replicaId: away.replica!.log.replicaId},
+      ]);
+    });
+
     it('commits changes when all others were replaced in turn, and after a restart of all', async () => {
       for (let seed = 81; seed < 85; seed++) {
         const cluster = await formedCluster(seed);
--- a/packages/replication/src/replica/replica.ts
+++ b/packages/replication/src/replica/replica.ts
@@ -11,6 +11,7 @@
 import PQueue from 'p-queue';
 import {Journal} from '../journal/journal.js';
 import {JournalAppendError} from '../journal/journal_append_error.js';
+import type {DiscoveredReplica} from '../next_replica_set/discovered_replica.js';
 import {nextReplicaSet} from '../next_replica_set/next_replica_set.js';
 import {ReplicaLog} from '../replica_log/replica_log.js';
 import {gatherVotes} from './gather_votes.js';
@@ -54,6 +55,8 @@
   private readonly taskQueue = new PQueue({concurrency: 1});
   private readonly stopping = new AbortController();
   private readonly pendingProposals = new Map<number, PendingProposal>();
+  /** Replicas that are not admitted and have been logged. */
+  private readonly refusedReplicas = new Set<ReplicaId>();
   private role: Role = 'follower';
   private leader: ReplicaId | undefined;
   private leadership: Leadership | undefined;
@@ -485,6 +488,7 @@
         continue;
       }
       const discovered = await discoverReplicas(this.opts);
+      this.logRefusedReplicas(discovered);
       const change = nextReplicaSet(this.log.replicas, discovered, {
         isCaughtUp: id => leadership.matchIndexOf(id) >= this.log.commitIndex,
         isSilent: id => leadership.isSilent(id),
@@ -505,6 +509,22 @@
     }
   }
 
+  /**
+   * Logs each replica that is a voter by its own log but no member of this one,
+   * once. It is not admitted, since its log may be another one.
+   */
+  private logRefusedReplicas(discovered: readonly DiscoveredReplica[]): void {
+    const {voters, learners} = this.log.replicas;
+    const memberIds = [...voters, ...learners].map(ref => ref.replicaId);
+    for (const {instanceId, replicaId, joinable} of discovered) {
+      const isRefused = !joinable && !memberIds.includes(replicaId);
+      if (isRefused && !this.refusedReplicas.has(replicaId)) {
+        this.refusedReplicas.add(replicaId);
+        this.opts.log.emit('replicaRefused', {peer: instanceId, replicaId});
+      }
+    }
+  }
+
   /** Whether an entry of this term and the last membership change are committed. */
   private isMembershipCommitted(leadership: Leadership): boolean {
     const {commitIndex, replicasIndex} = this.log;
