Log the tasks on a lost target, and how it was lost

Change: event 6018 targetRunsLost; calls to a target at whose address nothing listens end as refused, in metrics too. Conclusion: a task that recurs in 6018 can be found by grep.

--- a/packages/protocol/src/event_log/event_catalogue.ts
+++ b/packages/protocol/src/event_log/event_catalogue.ts
@@ -253,6 +253,11 @@
     level: 'info',
     text: 'this instance now manages the target',
   },
+  targetRunsLost: {
+    number: 6018,
+    level: 'warn',
+    text: 'target was lost with runs on it; the event has how, and their tasks',
+  },
   targetsAssigned: {
     number: 6016,
     level: 'info',
--- a/packages/scheduling/src/_lib/target_session.ts
+++ b/packages/scheduling/src/_lib/target_session.ts
@@ -12,6 +12,7 @@
 import {Sleeper} from './sleeper.js';
 import type {TargetSessionHost} from './target_session_host.js';
 import type {RunRecord} from './run_record.js';
+import type {TargetLoss} from './target_loss.js';
 
 /**
  * Longest wait of a target before it answers a hold, as a share of the longest
@@ -83,6 +84,8 @@
   /** Whether the target belongs to another shard and gets no new runs. */
   isReleased = false;
   private isClosed = false;
+  /** Whether the last order failed since nothing listens at the address. */
+  private isRefusing = false;
   /** Whether a start was rejected for lack of capacity since the last hold. */
   private isFull = false;
   /** Number of the last end that was processed. */
@@ -198,10 +201,23 @@
   }
 
   /**
-   * Closes all runs as lapsed when they can no longer exist, such as after a
-   * restart.
+   * Closes all runs as lapsed when they can no longer exist.
+   *
+   * @param loss - How the target was lost.
    */
-  closeAllRuns(): void {
+  closeAllRuns(loss: TargetLoss): void {
+    if (this.runs.size > 0) {
+      this.host.log.emit('targetRunsLost', {
+        target: this.report.targetId,
+        loss,
+        silentMs: this.silentMs(),
+        runs: [...this.runs.values()].map(({task, runNumber}) => ({
+          taskId: task.taskId,
+          kind: task.job.job.kind,
+          run: runNumber,
+        })),
+      });
+    }
     for (const run of [...this.runs.values()]) {
       this.closeRun(run, 'lapsed');
     }
@@ -462,10 +478,11 @@
     }
     if (reason === 'otherIncarnation') {
       this.isConfirmed = false;
-      this.closeAllRuns();
+      this.closeAllRuns('restarted');
       this.markSilent();
       return false;
     }
+    this.isRefusing = reason === 'refused';
     this.markSilent();
     return false;
   }
@@ -562,6 +579,7 @@
         break;
       case 'unhealthy':
       case 'notSent':
+      case 'refused':
         this.recordRunResult('failed');
         break;
       case 'otherIncarnation':
@@ -666,14 +684,21 @@
       if (this.silentSinceMs !== undefined) {
         this.host.log.emit('targetHeard', {
           target: this.report.targetId,
-          silentMs: Math.round(nowMs - this.silentSinceMs),
+          silentMs: this.silentMs(),
         });
         this.silentSinceMs = undefined;
+        this.isRefusing = false;
         this.host.onChange();
       }
     }
   }
 
+  /** Time since the target was last heard, in milliseconds; 0 if it answers. */
+  private silentMs(): number {
+    const nowMs = this.host.clock.now();
+    return Math.round(nowMs - (this.silentSinceMs ?? nowMs));
+  }
+
   private markSilent(): void {
     const nowMs = this.host.clock.now();
     if (this.silentSinceMs === undefined) {
@@ -684,7 +709,7 @@
       });
     }
     if (nowMs > this.latestRunEndMs) {
-      this.closeAllRuns();
+      this.closeAllRuns(this.isRefusing ? 'refused' : 'silent');
     }
     this.host.onChange();
   }
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -257,7 +257,7 @@
       return true;
     }
     if (session) {
-      session.closeAllRuns();
+      session.closeAllRuns('restarted');
       this.removeSession(session, 'restarted');
     }
     if (report.state !== 'gone' && this.opts.ownsTarget(report.targetId)) {
--- a/packages/scheduling/src/target_port/order_rejection.ts
+++ b/packages/scheduling/src/target_port/order_rejection.ts
@@ -5,7 +5,8 @@
  * `superseded`: a run with this number or a higher one has ended on the target.
  * `expired`: the lease had expired when the order arrived. `noRoom`: the target
  * has too little free capacity. `otherIncarnation`: the target has restarted.
- * `notSent`: no connection could be made.
+ * `notSent`: no connection could be made. `refused`: likewise, since nothing
+ * listens at the target's address.
  */
 export type OrderRejection =
   | 'fenced'
@@ -15,4 +16,5 @@
   | 'unhealthy'
   | 'malformed'
   | 'otherIncarnation'
-  | 'notSent';
+  | 'notSent'
+  | 'refused';
