--- a/packages/scheduling/src/scheduler/scheduler.test.ts
+++ b/packages/scheduling/src/scheduler/scheduler.test.ts
@@ -32,6 +32,13 @@
 const ORDER_TIMEOUT_MS = 100;
 const HOLD_ANSWER_MS = 300;
 const SECOND_MS = 1_000;
+/** Time from the start of a deadly task to the crash of its target. */
+const CRASH_DELAY_MS = 30;
+const REFUSED = {
+  kind: 'rejected',
+  reason: 'refused',
+  clockMs: undefined,
+} as const;
 /** Runs of the property test; CI uses the default. */
 const RUNS = Number(process.env['PAPAYARUN_RUNS'] ?? 60);
 /** Seed of the property test; CI uses the default. */
@@ -46,6 +53,10 @@
   /** Orders that get no answer and are carried out seconds later. */
   lateOrders: number;
   readonly cut: Set<TargetId>;
+  /** Targets that have crashed, at whose addresses nothing listens. */
+  readonly crashed: Set<TargetId>;
+  /** Tasks that crash each target that starts them, a moment later. */
+  readonly deadly: Set<TaskId>;
 }
 
 /**
@@ -56,7 +67,15 @@
   readonly clock = VirtualClock.create();
   readonly log = SilentLog.create();
   readonly targets = new Map<TargetId, EmulatedTarget>();
-  readonly faults: Faults = {lostAnswers: 0, lateOrders: 0, cut: new Set()};
+  readonly faults: Faults = {
+    lostAnswers: 0,
+    lateOrders: 0,
+    cut: new Set(),
+    crashed: new Set(),
+    deadly: new Set(),
+  };
+  /** Tasks that ran on each target when it crashed, in the order of the crashes. */
+  readonly crashes: TaskId[][] = [];
   readonly concurrentRuns: string[] = [];
   /** Number of the next waiting holds that get no answer. */
   holdsToLose = 0;
@@ -134,10 +153,26 @@
     const res = target.start(taskId, run, NEEDS.cores, token, leaseEndMs);
     if (target.starts.length > before) {
       this.recordConcurrentRuns(taskId, target);
+      if (this.faults.deadly.has(taskId)) {
+        void this.clock
+          .sleep(CRASH_DELAY_MS)
+          .then(() => this.crashTargetOf(taskId));
+      }
     }
     return res;
   }
 
+  /** Crashes the target on which a task runs. */
+  crashTargetOf(taskId: TaskId): void {
+    for (const [targetId, target] of this.targets) {
+      if (target.isRunning(taskId)) {
+        this.crashes.push([...target.runs.keys()]);
+        target.crash();
+        this.faults.crashed.add(targetId);
+      }
+    }
+  }
+
   private recordConcurrentRuns(taskId: TaskId, started: EmulatedTarget): void {
     for (const target of this.targets.values()) {
       if (target !== started && target.isRunning(taskId)) {
@@ -151,6 +186,9 @@
     carryOut: (target: EmulatedTarget) => OrderResult,
   ): Promise<OrderResult> {
     const target = this.targets.get(to.targetId)!;
+    if (this.faults.crashed.has(to.targetId)) {
+      return REFUSED;
+    }
     if (this.faults.cut.has(to.targetId)) {
       await this.clock.sleep(ORDER_TIMEOUT_MS);
       return {kind: 'unknown', reason: 'cut'};
@@ -178,15 +216,23 @@
     this.holds++;
     const target = this.targets.get(to.targetId)!;
     const endMs = this.clock.now() + order.waitMs;
+    const hasCrashed = (): boolean => this.faults.crashed.has(to.targetId);
     await this.clock.sleep(1);
+    if (hasCrashed()) {
+      return REFUSED;
+    }
     target.hold(order.token, order.lastSeenEnd, order.leaseEndMs);
     while (
       this.clock.now() < endMs &&
       !target.hasEndAfter(order.lastSeenEnd) &&
-      !this.faults.cut.has(to.targetId)
+      !this.faults.cut.has(to.targetId) &&
+      !hasCrashed()
     ) {
       await this.clock.sleep(2);
     }
+    if (hasCrashed()) {
+      return {kind: 'unknown', reason: 'connection reset'};
+    }
     const isLost = this.holdsToLose > 0 && order.waitMs > 0;
     if (isLost || this.faults.cut.has(to.targetId)) {
       this.holdsToLose -= isLost ? 1 : 0;
@@ -678,4 +724,105 @@
       {numRuns: RUNS, seed: SEED, endOnFailure: true},
     );
   });
+
+  // The runs on a target that refused connections were kept for two seconds, as
+  // if their lease had been renewed, while their callers' time ran out.
+  it('starts the tasks of a crashed target again once the last lease that reached it has ended', async () => {
+    const simulation = new TargetSimulation(5, 300);
+    const scheduler = await startScheduler(simulation, 2);
+    const job = narrowJob(1, 1);
+    const outcome = scheduler.submit(job);
+    await simulation.clock.advance(100);
+    simulation.crashTargetOf(taskOf(job));
+    await simulation.clock.advance(MAX_LEASE_MS + 2 * STOP_MS);
+    expect(simulation.startsOf(job.id)).toBe(2);
+    expect((await waitForOutcome(simulation.clock, outcome, 1_000)).kind).toBe(
+      'completed',
+    );
+  });
+
+  describe('when a task crashes each target that starts it', () => {
+    const LONG_MS = 60 * SECOND_MS;
+
+    it('gives the job up after two targets, also when it is sent again', async () => {
+      const simulation = new TargetSimulation(6);
+      const scheduler = await startScheduler(simulation, 8);
+      const job = narrowJob(1, 4, {leftMs: LONG_MS});
+      simulation.faults.deadly.add(taskOf(job));
+      const lost = {kind: 'failed', reason: 'targetLost'};
+      for (let n = 0; n < 3; n++) {
+        expect(
+          await waitForOutcome(
+            simulation.clock,
+            scheduler.submit(job),
+            LONG_MS,
+          ),
+        ).toEqual(lost);
+        expect(simulation.crashes.length).toBe(2);
+      }
+    });
+
+    it('runs it and what ran beside it alone until one of them is done', async () => {
+      const simulation = new TargetSimulation(7);
+      const scheduler = await startScheduler(simulation, 4);
+      const deadly = narrowJob(1, 1, {leftMs: LONG_MS});
+      simulation.faults.deadly.add(taskOf(deadly));
+      const outcomes: Array<Promise<JobOutcome>> = [];
+      for (let n = 2; n < 40; n++) {
+        const job = narrowJob(n, 2, {leftMs: LONG_MS, isPromised: true});
+        outcomes.push(scheduler.submit(job));
+        if (n === 3) {
+          void scheduler.submit(deadly);
+        }
+        await simulation.clock.advance(50);
+      }
+      await simulation.clock.advance(5 * SECOND_MS);
+      const [first, second] = simulation.crashes;
+      expect(simulation.crashes.length).toBe(2);
+      expect(first!.length).toBe(2);
+      expect(second).toEqual([taskOf(deadly)]);
+      for (const outcome of outcomes) {
+        expect((await outcome).kind).toBe('completed');
+      }
+    });
+
+    it('counts the targets that it crashed under an earlier scheduler', async () => {
+      const simulation = new TargetSimulation(8);
+      const former = await startScheduler(simulation, 8);
+      const job = narrowJob(1, 1, {leftMs: LONG_MS});
+      simulation.faults.deadly.add(taskOf(job));
+      const handedOver = former.submit(job);
+      while (simulation.startsOf(job.id) < 2) {
+        await simulation.clock.advance(5);
+      }
+      former.end();
+      const {placed} = (await handedOver) as Extract<
+        JobOutcome,
+        {kind: 'handedOver'}
+      >;
+      const successor = simulation.scheduler();
+      successor.begin(2);
+      for (const targetId of simulation.targets.keys()) {
+        successor.acceptReport(reportOf(targetId));
+      }
+      const outcome = successor.submit({...job, placed});
+      await waitForOutcome(simulation.clock, outcome, LONG_MS);
+      expect(simulation.crashes.length).toBe(2);
+    });
+  });
 });
+
+/** A job with one step of some tasks. */
+function narrowJob(
+  n: number,
+  tasks: number,
+  overrides: Partial<ScheduledJob> = {},
+): ScheduledJob {
+  const [step] = jobOf(n).steps;
+  return jobOf(n, {steps: [{...step!, count: tasks}], ...overrides});
+}
+
+/** First task of a job. */
+function taskOf(job: ScheduledJob): TaskId {
+  return `${job.id}.0.0.0` as TaskId;
+}
--- a/packages/test_kit/src/emulated_target/emulated_target.ts
+++ b/packages/test_kit/src/emulated_target/emulated_target.ts
@@ -176,6 +176,11 @@
     );
   }
 
+  /** Ends all runs without a trace, as when the process crashes. */
+  crash(): void {
+    this.runs.clear();
+  }
+
   /** Ends the runs that are complete, and all runs once the lease has expired. */
   private applyElapsedTime(): void {
     const nowMs = this.clock.now();
