Run a task alone after a target has crashed under it

Callers saw: their tasks ended with the second target of somebody else's deadly task. Change: a task on whose target a crash was counted is placed on an idle target only, and nothing beside it until it has ended; if none is idle, the target with the fewest runs is kept free for it. Conclusion: the second crash takes no other task along.

--- a/packages/scheduling/src/crash_evidence/crash_evidence.ts
+++ b/packages/scheduling/src/crash_evidence/crash_evidence.ts
@@ -39,6 +39,11 @@
     this.losses.record(taskId, targets, nowMs);
   }
 
+  /** Whether a target crashed under a task, by its fault or beside another. */
+  isSuspect(taskId: TaskId): boolean {
+    return this.losses.countOf(taskId) > 0;
+  }
+
   /** Whether so many targets crashed under a task that it isn't started again. */
   isGivenUp(taskId: TaskId): boolean {
     return this.losses.countOf(taskId) >= MAX_TASK_LOSSES;
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -538,6 +538,7 @@
     const candidates = this.availableCandidates();
     const nowMs = this.opts.clock.now();
     this.waiting.sort((a, b) => compareWaitingJobs(a, b, nowMs));
+    this.withholdForSuspect(candidates);
     const slots = countSlots(candidates);
     const busySlots = this.loadMeter.loadAbove(Infinity, nowMs);
     for (const record of [...this.waiting]) {
@@ -575,19 +576,49 @@
           slowness: session.slowness,
           isSuspect: session.health.kind === 'suspect',
           runs: session.runs.size,
+          isExclusive: [...session.runs.values()].some(run =>
+            this.opts.crashes.isSuspect(run.task.taskId),
+          ),
         });
       }
     }
     return candidates;
   }
 
+  /**
+   * Keeps other tasks off the target with the fewest runs, if a task that has
+   * to run alone waits and no target is idle.
+   */
+  private withholdForSuspect(candidates: readonly SessionCandidate[]): void {
+    const suspect = this.waiting
+      .flatMap(record => record.tasks)
+      .find(
+        task =>
+          task.state === 'waiting' && this.opts.crashes.isSuspect(task.taskId),
+      );
+    if (!suspect) {
+      return;
+    }
+    const [emptiest] = candidates
+      .filter(({session}) => isAllowed(suspect, session))
+      .sort((a, b) => a.runs - b.runs);
+    if (emptiest && emptiest.runs > 0) {
+      emptiest.isExclusive = true;
+    }
+  }
+
   /** Orders a task on a target; undefined if it fits on none. */
   private placeTask(
     task: TaskRecord,
     candidates: SessionCandidate[],
   ): RunRecord | undefined {
     const {needs} = task.job.job.steps[task.stepIndex]!;
-    const usable = candidates.filter(({session}) => isAllowed(task, session));
+    // A suspect runs alone, so that another crash takes no other task along.
+    const isSuspect = this.opts.crashes.isSuspect(task.taskId);
+    const usable = candidates.filter(
+      ({session, runs, isExclusive}) =>
+        isAllowed(task, session) && (isSuspect ? runs === 0 : !isExclusive),
+    );
     const chosen = chooseTarget(usable, needs);
     if (!chosen) {
       return undefined;
@@ -599,6 +630,7 @@
     void session.start(run);
     chosen.free = session.freeResources();
     chosen.runs = session.runs.size;
+    chosen.isExclusive ||= isSuspect;
     return run;
   }
 
@@ -1028,6 +1060,8 @@
   readonly slowness: number;
   readonly isSuspect: boolean;
   runs: number;
+  /** Whether it is kept for a task that has to run alone. */
+  isExclusive: boolean;
 }
 
 /** Counts slots for tasks of the mean size of the running ones. */
