Tell other entry instances of tasks that crash their targets

Callers saw: a request that was sent again after its scheduler had died began anew. Change: a notice taskLost to the linked entry instances, with the task and the number of targets; its shape is checked where it arrives. Versions before it ignore notices that they don't know. An instance without a link to the one that saw the crash doesn't learn of it.

--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -4,6 +4,7 @@
   JobOutcome,
   ScheduledJob,
   ShardId,
+  TaskLoss,
 } from '@papayarun/protocol';
 import {dataCentreOfShard, shardIdOf} from '@papayarun/protocol';
 import type {ControlState} from '@papayarun/releases';
@@ -12,6 +13,7 @@
 import {QueueTable} from '../work_queue/queue_table.js';
 import type {WorkQueue} from '../work_queue/work_queue.js';
 import type {EntryInstanceOptions} from './entry_instance_options.js';
+import {checkTaskLoss} from './check_task_loss.js';
 import {JobSubmitter} from './job_submitter.js';
 import {LinkPolicy} from './link_policy.js';
 import {LocalSchedulers} from './local_schedulers.js';
@@ -46,6 +48,7 @@
       dataCentre,
       store: this.store,
       loopLagMs: () => this.node.loopLag.lagMs,
+      onTaskLost: loss => this.tellEntries(loss),
     });
     this.linkPolicy = LinkPolicy.create(instanceId, dataCentre);
   }
@@ -185,6 +188,9 @@
     network.onNotice('cancelJob', (from, {jobId}) =>
       this.schedulers.cancel(from, jobId),
     );
+    network.onNotice('taskLost', (_from, loss) =>
+      this.schedulers.recordTaskLoss(checkTaskLoss(loss)),
+    );
     network.onCall('reportTarget', (_from, {report, shard = firstShard}) =>
       Promise.resolve({
         accepted: this.schedulers.acceptReport(shard, report),
@@ -192,6 +198,16 @@
     );
   }
 
+  /** Tells the linked entry instances that a target has crashed under a task. */
+  private tellEntries(loss: TaskLoss): void {
+    const {network, membership} = this.node;
+    for (const peer of network.connectedPeers()) {
+      if (membership.peer(peer)?.heartbeat.role === 'entry') {
+        network.notify(peer, 'taskLost', loss);
+      }
+    }
+  }
+
   private createSubmitter(self: InstanceId): JobSubmitter {
     const {clock, log} = this.opts;
     return JobSubmitter.create({
--- a/packages/daemon/src/entry_instance/local_schedulers.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.ts
@@ -10,6 +10,7 @@
   ShardId,
   TargetId,
   TargetReport,
+  TaskLoss,
 } from '@papayarun/protocol';
 import {dataCentreOfShard, EMPTY_QUOTE} from '@papayarun/protocol';
 import type {ControlState} from '@papayarun/releases';
@@ -41,7 +42,7 @@
   private readonly requesters = new Map<ShardId, Map<JobId, Set<InstanceId>>>();
 
   private constructor(private readonly opts: LocalSchedulersOptions) {
-    this.crashes = CrashEvidence.create(() => undefined);
+    this.crashes = CrashEvidence.create(opts.onTaskLost);
   }
 
   /**
@@ -123,6 +124,11 @@
     this.estimator.addSample(kind, declaredMs, ranMs);
   }
 
+  /** Records that a target crashed under a task of another instance. */
+  recordTaskLoss(loss: TaskLoss): void {
+    this.crashes.recordLoss(loss, this.opts.clock.now());
+  }
+
   /** Cancels a job unless another instance waits for it too. */
   cancel(requester: InstanceId, jobId: JobId): void {
     for (const [shard, byJob] of this.requesters) {
--- a/packages/daemon/src/entry_instance/local_schedulers_options.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers_options.ts
@@ -3,6 +3,7 @@
   DataCentreId,
   EventLog,
   InstanceId,
+  TaskLoss,
 } from '@papayarun/protocol';
 import type {ControlStore} from '@papayarun/releases';
 import type {SchedulerTiming, TargetPort} from '@papayarun/scheduling';
@@ -24,4 +25,6 @@
     'recordJob' | 'recordForecastError' | 'recordFreeSlots'
   >;
   readonly loopLagMs: () => number;
+  /** Called when a target has crashed under a task. */
+  readonly onTaskLost: (loss: TaskLoss) => void;
 }
--- a/packages/protocol/src/messages/peer_notices.ts
+++ b/packages/protocol/src/messages/peer_notices.ts
@@ -2,6 +2,7 @@
 import type {Announcement} from '../target/announcement.js';
 import type {RequestId} from '../ids/request_id.js';
 import type {ClaimAnswered} from './claim_answered.js';
+import type {TaskLoss} from '../scheduling/task_loss.js';
 import type {Heartbeat} from './heartbeat.js';
 
 /**
@@ -15,4 +16,9 @@
   cancelDispatch: {readonly requestId: RequestId | string};
   /** Cancels a job at its scheduler because no caller waits for it any more. */
   cancelJob: {readonly jobId: JobId};
+  /**
+   * Tells entry instances that a target crashed under a task; versions before
+   * it ignore the notice.
+   */
+  taskLost: TaskLoss;
 }
