Don't start tasks of a suspected kind again after a crash

Callers saw: with each deadly task a second target gone, for tasks that can't be done. Tasks of other kinds beside it are started again, alone. The notice taskLost names the kind. Besides, a test that a room that has shrunk is not overbooked, with what is being stopped counted: it passed at once, LIMIT holds there. Conclusion: after the first tasks each further deadly one costs one target, not two.

--- a/packages/daemon/src/entry_instance/check_task_loss.test.ts
+++ b/packages/daemon/src/entry_instance/check_task_loss.test.ts
@@ -3,7 +3,7 @@
 import {checkTaskLoss} from './check_task_loss.js';
 
 const SEED = 12;
-const LOSS = {taskId: '5c0e7a21d94b36f8.0.0.1', targets: 2};
+const LOSS = {kind: 'relato', taskId: '5c0e7a21d94b36f8.0.0.1', targets: 2};
 
 describe('checkTaskLoss', () => {
   it('accepts a loss, also with fields of a later version', () => {
@@ -14,6 +14,7 @@
   it('refuses a loss with a field that is missing or of another type', () => {
     expect(() => checkTaskLoss({...LOSS, targets: 0})).toThrow('targets');
     expect(() => checkTaskLoss({...LOSS, taskId: undefined})).toThrow('taskId');
+    expect(() => checkTaskLoss({...LOSS, kind: 7})).toThrow('kind');
     fc.assert(
       fc.property(
         fc.oneof(
--- a/packages/daemon/src/entry_instance/check_task_loss.ts
+++ b/packages/daemon/src/entry_instance/check_task_loss.ts
@@ -7,10 +7,13 @@
  * @returns The loss.
  * @throws Error that names the field.
  * @example
- * checkTaskLoss({taskId: '5c0e.0.0.1', targets: 1});
+ * checkTaskLoss({kind: 'relato', taskId: '5c0e.0.0.1', targets: 1});
  */
 export function checkTaskLoss(value: unknown): TaskLoss {
-  const {taskId, targets} = (value ?? {}) as Record<string, unknown>;
+  const {kind, taskId, targets} = (value ?? {}) as Record<string, unknown>;
+  if (typeof kind !== 'string') {
+    throw new Error('taskLost: kind is missing or not a string');
+  }
   if (typeof taskId !== 'string') {
     throw new Error('taskLost: taskId is missing or not a string');
   }
--- a/packages/protocol/src/scheduling/job_failure.ts
+++ b/packages/protocol/src/scheduling/job_failure.ts
@@ -4,6 +4,8 @@
 export type JobFailure =
   | 'taskFailed'
   | 'targetLost'
+  /** A target crashed under it, and its kind has crashed several targets. */
+  | 'kindSuspected'
   | 'deadline'
   | 'schedulerLost'
   | 'cancelled'
--- a/packages/scheduling/src/scheduler/scheduler.test.ts
+++ b/packages/scheduling/src/scheduler/scheduler.test.ts
@@ -518,6 +518,35 @@
     expect(outcome).toEqual({kind: 'failed', reason: 'taskFailed'});
   });
 
+  it('orders nothing that the shrunk room of a target can not hold, and counts what is being stopped', async () => {
+    const simulation = new TargetSimulation(12, 400);
+    const scheduler = await startScheduler(simulation, 1);
+    void scheduler.submit(narrowJob(1, 2, {leftMs: 9_000}));
+    await simulation.clock.advance(50);
+    const report = reportOf('t1' as TargetId);
+    const shrunk = {...report.capacity, cores: 18};
+    scheduler.acceptReport({...report, sequence: 2, capacity: shrunk});
+    scheduler.cancel(jobOf(1).id);
+    void scheduler.submit(narrowJob(2, 2, {leftMs: 9_000, isPromised: true}));
+    const [target] = simulation.targets.values();
+    const mostRunsOf = async (job: ScheduledJob): Promise<number> => {
+      let most = 0;
+      while (!(await isDone(job))) {
+        const hasStarted = simulation.startsOf(job.id) > 0;
+        most = Math.max(most, hasStarted ? target!.runs.size : 0);
+      }
+      return most;
+    };
+    const isDone = async (job: ScheduledJob): Promise<boolean> => {
+      await simulation.clock.advance(2);
+      return simulation.startsOf(job.id) === 2 && target!.runs.size === 0;
+    };
+    expect(await mostRunsOf(jobOf(2))).toBe(1);
+    scheduler.acceptReport({...report, sequence: 3});
+    void scheduler.submit(narrowJob(3, 2, {leftMs: 9_000, isPromised: true}));
+    expect(await mostRunsOf(jobOf(3))).toBe(2);
+  });
+
   it('starts nothing on a draining target', async () => {
     const simulation = new TargetSimulation(4);
     const scheduler = await startScheduler(simulation, 2);
@@ -823,6 +852,50 @@
       expect(simulation.startsOf(job.id)).toBe(1);
     });
 
+    // The deadly tasks of a kind that was known to crash targets crashed a second
+    // one each.
+    it('does not start a task of a suspected kind again, and answers its job at once', async () => {
+      const simulation = new TargetSimulation(10);
+      const scheduler = await startScheduler(simulation, 8);
+      const deadly = [1, 2, 3].map(n => narrowJob(n, 1, {leftMs: LONG_MS}));
+      for (const job of deadly) {
+        simulation.faults.deadly.add(taskOf(job));
+      }
+      for (const job of deadly.slice(0, 2)) {
+        const outcome = scheduler.submit(job);
+        await waitForOutcome(simulation.clock, outcome, LONG_MS);
+      }
+      expect(simulation.crashes.length).toBe(4);
+      expect(
+        await waitForOutcome(
+          simulation.clock,
+          scheduler.submit(deadly[2]!),
+          SECOND_MS,
+        ),
+      ).toEqual({kind: 'failed', reason: 'kindSuspected'});
+      expect(simulation.crashes.length).toBe(5);
+    });
+
+    it('starts a task of another kind again that ran beside one', async () => {
+      const simulation = new TargetSimulation(11, 200);
+      const scheduler = await startScheduler(simulation, 8);
+      const deadly = [1, 2, 3].map(n => narrowJob(n, 1, {leftMs: LONG_MS}));
+      for (const job of deadly) {
+        simulation.faults.deadly.add(taskOf(job));
+      }
+      for (const job of deadly.slice(0, 2)) {
+        const outcome = scheduler.submit(job);
+        await waitForOutcome(simulation.clock, outcome, LONG_MS);
+      }
+      const kind = 'confirma' as KindId;
+      const beside = scheduler.submit(narrowJob(4, 1, {kind, leftMs: LONG_MS}));
+      void scheduler.submit(deadly[2]!);
+      expect(
+        (await waitForOutcome(simulation.clock, beside, 2 * SECOND_MS)).kind,
+      ).toBe('completed');
+      expect(simulation.crashes.at(-1)!.length).toBe(2);
+    });
+
     it('counts the targets that it crashed under an earlier scheduler', async () => {
       const simulation = new TargetSimulation(8);
       const former = await startScheduler(simulation, 8);
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -721,8 +721,10 @@
       this.failJob(task.job, 'taskFailed');
       return;
     }
-    if (this.opts.crashes.isGivenUp(task.taskId)) {
-      this.failJob(task.job, 'targetLost');
+    const crashFailure =
+      how === 'targetCrashed' ? this.crashFailure(task) : undefined;
+    if (crashFailure) {
+      this.failJob(task.job, crashFailure);
       return;
     }
     this.retryTask(task, run, how);
@@ -735,20 +737,34 @@
   private handleRefusing(session: TargetSession): void {
     for (const run of [...session.runs.values()]) {
       this.recordCrash(run);
-      const {taskId, job} = run.task;
-      if (this.opts.crashes.isGivenUp(taskId) && !job.isConcluded) {
-        this.failJob(job, 'targetLost');
+      const {task} = run;
+      const failure = run.isCrashRecorded ? this.crashFailure(task) : undefined;
+      if (failure && !task.job.isConcluded) {
+        this.failJob(task.job, failure);
       }
     }
   }
 
+  /** Why a task whose target has crashed isn't started again, if it isn't. */
+  private crashFailure({taskId, job}: TaskRecord): JobFailure | undefined {
+    const {crashes, clock} = this.opts;
+    if (crashes.isGivenUp(taskId)) {
+      return 'targetLost';
+    }
+    return crashes.isKindSuspect(job.job.kind, clock.now())
+      ? 'kindSuspected'
+      : undefined;
+  }
+
   private recordCrash(run: RunRecord): void {
     // An order that is still on its way may find the target gone already.
     const mayHaveBegun =
       run.confirmedMs !== undefined || run.state === 'uncertain';
     if (mayHaveBegun && !run.isCrashRecorded) {
       run.isCrashRecorded = true;
-      this.opts.crashes.recordCrash(run.task.taskId, this.opts.clock.now());
+      const {job, taskId} = run.task;
+      const nowMs = this.opts.clock.now();
+      this.opts.crashes.recordCrash(job.job.kind, taskId, nowMs);
     }
   }
 
