Don't count a lease that was never sent to a target

Callers saw: their tasks beside a crash were started again two seconds later, after their deadlines. Cause: the lease of a silent target is renewed for a second one, as it may be at work. Change: a renewal that could not be sent doesn't extend the time for which runs may exist. Safe: without a connection the target got nothing. Conclusion: tasks beside a crash are started again after one lease.

--- a/packages/scheduling/src/_lib/target_session.ts
+++ b/packages/scheduling/src/_lib/target_session.ts
@@ -425,9 +425,11 @@
         ? Math.floor(timing.maxLeaseMs * HOLD_WAIT_SHARE)
         : 0;
     const leaseEndMs = this.mayRenewLease() ? this.newLeaseEndMs() : undefined;
+    const previousEndMs = this.leasesExpiredByMs;
     if (leaseEndMs !== undefined && this.runs.size > 0) {
       this.recordLease(leaseEndMs);
     }
+    const renewedEndMs = this.leasesExpiredByMs;
     const sentMs = clock.now();
     const order = {token, lastSeenEnd: this.lastSeenEnd, leaseEndMs, waitMs};
     const res = await port.hold(this.endpoint, order);
@@ -445,6 +447,9 @@
         return true;
       case 'rejected':
         this.recordContact(res.clockMs);
+        if (isNotSent(res.reason) && this.leasesExpiredByMs === renewedEndMs) {
+          this.leasesExpiredByMs = previousEndMs;
+        }
         return this.handleHoldRejection(res.reason);
       case 'unknown':
         // A single answer may get lost; the target counts as silent only after
@@ -726,3 +731,8 @@
     this.sleeper.wake();
   }
 }
+
+/** Whether an order was rejected since no connection could be made. */
+function isNotSent(reason: OrderRejection): boolean {
+  return reason === 'notSent' || reason === 'refused';
+}
