Test two losses among six voters after two were replaced at once

Change: a test with six voters, two of them replaced at once, then one that loses its disk and one that ends or is cut off. Conclusion: holds for an even number of voters too.

--- a/packages/replication/src/replica/replica.test.ts
+++ b/packages/replication/src/replica/replica.test.ts
@@ -602,6 +602,30 @@
       });
     }
 
+    it('commits changes when two of six others are lost at once, after two were replaced at once', async () => {
+      for (let seed = 101; seed < 107; seed++) {
+        const cluster = await formedCluster(seed);
+        for (let n = INSTANCE_IDS.length; n < 6; n++) {
+          await cluster.add();
+          await cluster.clock.advance(CATCH_UP_MS);
+        }
+        const [first, second] = [seed % 6, (seed + 1 + (seed % 4)) % 6].map(
+          n => cluster.nodes[n]!,
+        );
+        await cluster.remove(first!);
+        await cluster.remove(second!);
+        await cluster.clock.advance(REPLACEMENT_DELAY_MS);
+        await cluster.add();
+        await cluster.add();
+        await cluster.clock.advance(CATCH_UP_MS);
+        const [third, fourth] = cluster.nodes.slice(seed % 3);
+        await losses['loses its disk'](cluster, third!);
+        await losses[seed % 2 === 0 ? 'is cut off' : 'ends'](cluster, fourth!);
+        await cluster.expectCommitInTime();
+        await cluster.healAndVerify();
+      }
+    });
+
     it('commits changes when the successor came first', async () => {
       for (let seed = 71; seed < 75; seed++) {
         const cluster = await formedCluster(seed);
