--- a/packages/scheduling/src/task_losses/task_losses.ts
+++ b/packages/scheduling/src/task_losses/task_losses.ts
@@ -1,6 +1,6 @@
 import type {TaskId} from '@papayarun/protocol';
 
-/** Time for which the losses of a task are remembered, in milliseconds. */
+/** Shortest time for which the losses of a task are remembered, in milliseconds. */
 const MEMORY_MS = 60_000;
 
 /**
