Let each note of the resend test have a content of its own

Change: the value is that of the first time the id was drawn. Measured: vitest packages/releases, 18 of 18; with the value by position 1 test red. Conclusion: the test now tells notes apart.

--- a/packages/releases/src/apply_command/apply_command.test.ts
+++ b/packages/releases/src/apply_command/apply_command.test.ts
@@ -81,7 +81,7 @@
           order.forEach((id, i) => {
             const base = first.get(id)?.base ?? bases[i]!;
             const command = noteCommand(id, base, {
-              added: {[`behaviour:x${id}`]: i % 1},
+              added: {[`behaviour:x${id}`]: order.indexOf(id)},
             });
             const before = state.release;
             const applied = applyNoteCommand(state, command);
