--- a/packages/scheduling/src/scheduler/scheduler.test.ts
+++ b/packages/scheduling/src/scheduler/scheduler.test.ts
@@ -797,6 +797,22 @@
   describe('when a task crashes each target that starts it', () => {
     const LONG_MS = 60 * SECOND_MS;
 
+    /** Has two tasks of a kind given up, and returns a deadly job of that kind. */
+    async function makeKindSuspect(
+      simulation: TargetSimulation,
+      scheduler: Scheduler,
+    ): Promise<ScheduledJob> {
+      const jobs = [1, 2, 3].map(n => narrowJob(n, 1, {leftMs: LONG_MS}));
+      for (const job of jobs) {
+        simulation.faults.deadly.add(taskOf(job));
+      }
+      for (const job of jobs.slice(0, 2)) {
+        const outcome = scheduler.submit(job);
+        await waitForOutcome(simulation.clock, outcome, LONG_MS);
+      }
+      return jobs[2]!;
+    }
+
     it('gives the job up after two targets, also when it is sent again', async () => {
       const simulation = new TargetSimulation(6);
       const scheduler = await startScheduler(simulation, 8);
@@ -857,19 +873,12 @@
     it('does not start a task of a suspected kind again, and answers its job at once', async () => {
       const simulation = new TargetSimulation(10);
       const scheduler = await startScheduler(simulation, 8);
-      const deadly = [1, 2, 3].map(n => narrowJob(n, 1, {leftMs: LONG_MS}));
-      for (const job of deadly) {
-        simulation.faults.deadly.add(taskOf(job));
-      }
-      for (const job of deadly.slice(0, 2)) {
-        const outcome = scheduler.submit(job);
-        await waitForOutcome(simulation.clock, outcome, LONG_MS);
-      }
+      const deadly = await makeKindSuspect(simulation, scheduler);
       expect(simulation.crashes.length).toBe(4);
       expect(
         await waitForOutcome(
           simulation.clock,
-          scheduler.submit(deadly[2]!),
+          scheduler.submit(deadly),
           SECOND_MS,
         ),
       ).toEqual({kind: 'failed', reason: 'kindSuspected'});
@@ -879,17 +888,10 @@
     it('starts a task of another kind again that ran beside one', async () => {
       const simulation = new TargetSimulation(11, 200);
       const scheduler = await startScheduler(simulation, 8);
-      const deadly = [1, 2, 3].map(n => narrowJob(n, 1, {leftMs: LONG_MS}));
-      for (const job of deadly) {
-        simulation.faults.deadly.add(taskOf(job));
-      }
-      for (const job of deadly.slice(0, 2)) {
-        const outcome = scheduler.submit(job);
-        await waitForOutcome(simulation.clock, outcome, LONG_MS);
-      }
+      const deadly = await makeKindSuspect(simulation, scheduler);
       const kind = 'confirma' as KindId;
       const beside = scheduler.submit(narrowJob(4, 1, {kind, leftMs: LONG_MS}));
-      void scheduler.submit(deadly[2]!);
+      void scheduler.submit(deadly);
       expect(
         (await waitForOutcome(simulation.clock, beside, 2 * SECOND_MS)).kind,
       ).toBe('completed');
