Look for suspects among the waiting tasks only after a crash

Cause: each round of placement looked through all waiting tasks for one that has to run alone, also when no target had crashed: work on a hot path, most under overload. Change: it looks only while losses are remembered, which are now forgotten after a minute exactly.

--- a/packages/scheduling/src/crash_evidence/crash_evidence.ts
+++ b/packages/scheduling/src/crash_evidence/crash_evidence.ts
@@ -44,6 +44,11 @@
     }
   }
 
+  /** Whether any task is suspected. */
+  hasSuspects(nowMs: number): boolean {
+    return this.losses.hasAny(nowMs);
+  }
+
   /** Whether a target crashed under a task, by its fault or beside another. */
   isSuspect(taskId: TaskId): boolean {
     return this.losses.countOf(taskId) > 0;
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -590,12 +590,13 @@
    * to run alone waits and no target is idle.
    */
   private withholdForSuspect(candidates: readonly SessionCandidate[]): void {
+    const {crashes, clock} = this.opts;
+    if (!crashes.hasSuspects(clock.now())) {
+      return;
+    }
     const suspect = this.waiting
       .flatMap(record => record.tasks)
-      .find(
-        task =>
-          task.state === 'waiting' && this.opts.crashes.isSuspect(task.taskId),
-      );
+      .find(task => task.state === 'waiting' && crashes.isSuspect(task.taskId));
     if (!suspect) {
       return;
     }
--- a/packages/scheduling/src/task_losses/task_losses.test.ts
+++ b/packages/scheduling/src/task_losses/task_losses.test.ts
@@ -24,5 +24,7 @@
     losses.record('f5d66e159bff2070.0.0.0' as TaskId, 1, MINUTE_MS + 10);
     expect(losses.countOf(OTHER)).toBe(0);
     expect(losses.countOf(TASK)).toBe(2);
+    expect(losses.hasAny(2 * MINUTE_MS)).toBe(true);
+    expect(losses.hasAny(2 * MINUTE_MS + 10)).toBe(false);
   });
 });
--- a/packages/scheduling/src/task_losses/task_losses.ts
+++ b/packages/scheduling/src/task_losses/task_losses.ts
@@ -34,16 +34,26 @@
     return this.losses.get(taskId)?.count ?? 0;
   }
 
+  /** Whether there are losses of any task. */
+  hasAny(nowMs: number): boolean {
+    this.forgetBefore(nowMs - MEMORY_MS);
+    return this.losses.size > 0;
+  }
+
   /** Records that at least this many targets crashed under a task. */
   record(taskId: TaskId, count: number, nowMs: number): void {
-    for (const [id, {atMs}] of this.losses) {
-      if (nowMs - atMs < MEMORY_MS) {
-        break;
-      }
-      this.losses.delete(id);
-    }
+    this.forgetBefore(nowMs - MEMORY_MS);
     const highestCount = Math.max(count, this.countOf(taskId));
     this.losses.delete(taskId);
     this.losses.set(taskId, {count: highestCount, atMs: nowMs});
   }
+
+  private forgetBefore(timeMs: number): void {
+    for (const [taskId, {atMs}] of this.losses) {
+      if (atMs > timeMs) {
+        break;
+      }
+      this.losses.delete(taskId);
+    }
+  }
 }
