--- /dev/null
+++ b/packages/scheduling/src/_test/target_simulation.ts
@@ -0,0 +1,256 @@
+import type {
+  JobId,
+  ShardId,
+  TargetId,
+  TargetReport,
+  TaskId,
+} from '@papayarun/protocol';
+import {SeededRandom} from '@papayarun/protocol';
+import {EmulatedTarget, SilentLog, VirtualClock} from '@papayarun/test_kit';
+import {CrashEvidence} from '../crash_evidence/crash_evidence.js';
+import {RunTimeEstimator} from '../run_time_estimator/run_time_estimator.js';
+import {Scheduler} from '../scheduler/scheduler.js';
+import type {HoldOrder} from '../target_port/hold_order.js';
+import type {HoldResult} from '../target_port/hold_result.js';
+import type {OrderResult} from '../target_port/order_result.js';
+import type {StartOrder} from '../target_port/start_order.js';
+import type {StopOrder} from '../target_port/stop_order.js';
+import type {TargetEndpoint} from '../target_port/target_endpoint.js';
+import type {TargetPort} from '../target_port/target_port.js';
+import {reportOf} from './report_of.js';
+import {CORES, MAX_LEASE_MS, NEEDS, STOP_MS} from './simulation_values.js';
+
+const ORDER_TIMEOUT_MS = 100;
+const HOLD_ANSWER_MS = 300;
+const SECOND_MS = 1_000;
+/** Time from the start of a deadly task to the crash of its target. */
+const CRASH_DELAY_MS = 30;
+/** Time until an order is refused, longer than that of a hold. */
+const REFUSED_ORDER_MS = 5;
+const REFUSED = {
+  kind: 'rejected',
+  reason: 'refused',
+  clockMs: undefined,
+} as const;
+
+/**
+ * Faults between the scheduler and its targets; numbers are shares of the
+ * orders.
+ */
+interface Faults {
+  lostAnswers: number;
+  /** Orders that get no answer and are carried out seconds later. */
+  lateOrders: number;
+  readonly cut: Set<TargetId>;
+  /** Targets that have crashed, at whose addresses nothing listens. */
+  readonly crashed: Set<TargetId>;
+  /** Tasks that crash each target that starts them, a moment later. */
+  readonly deadly: Set<TaskId>;
+}
+
+/**
+ * Emulated targets on a virtual clock, with a port that loses and delays
+ * orders.
+ */
+export class TargetSimulation {
+  readonly clock = VirtualClock.create();
+  readonly log = SilentLog.create();
+  readonly targets = new Map<TargetId, EmulatedTarget>();
+  readonly faults: Faults = {
+    lostAnswers: 0,
+    lateOrders: 0,
+    cut: new Set(),
+    crashed: new Set(),
+    deadly: new Set(),
+  };
+  /** Tasks that ran on each target when it crashed, in the order of the crashes. */
+  readonly crashes: TaskId[][] = [];
+  readonly concurrentRuns: string[] = [];
+  /** Number of the next waiting holds that get no answer. */
+  holdsToLose = 0;
+  /** Holds that were sent to targets. */
+  holds = 0;
+  dataCentres = 1;
+  /** Targets that the log assigns to another shard. */
+  readonly moved = new Set<TargetId>();
+  private readonly random;
+  private readonly evidence: CrashEvidence[] = [];
+  private targetCount = 0;
+
+  constructor(
+    seed: number,
+    readonly runMs = 60,
+  ) {
+    this.random = SeededRandom.create(seed);
+  }
+
+  addTarget(): TargetReport {
+    const targetId = `t${++this.targetCount}` as TargetId;
+    const target = EmulatedTarget.create(
+      this.clock,
+      this.random,
+      CORES,
+      MAX_LEASE_MS,
+      () => this.runMs,
+    );
+    this.targets.set(targetId, target);
+    return reportOf(targetId);
+  }
+
+  /**
+   * @param ownsMoved - Whether the log assigns the moved targets to its shard.
+   */
+  scheduler(ownsMoved = false): Scheduler {
+    return Scheduler.create({
+      targetClient: this.port(),
+      clock: this.clock,
+      log: this.log,
+      timing: {
+        maxLeaseMs: MAX_LEASE_MS,
+        stopMs: STOP_MS,
+        reportMs: 0,
+      },
+      shard: 'centro' as ShardId,
+      estimator: RunTimeEstimator.create(),
+      crashes: this.crashEvidence(),
+      shardCount: () => this.dataCentres,
+      ownsTarget: targetId => this.moved.has(targetId) === ownsMoved,
+      loopLagMs: () => 0,
+      onFenced: () => undefined,
+      onOutcome: () => undefined,
+    });
+  }
+
+  /** Evidence of one instance, which tells the others. */
+  private crashEvidence(): CrashEvidence {
+    const evidence = CrashEvidence.create(loss => {
+      for (const other of this.evidence) {
+        if (other !== evidence) {
+          other.recordLoss(loss, this.clock.now());
+        }
+      }
+    });
+    this.evidence.push(evidence);
+    return evidence;
+  }
+
+  startsOf(jobId: JobId): number {
+    let count = 0;
+    for (const target of this.targets.values()) {
+      count += target.starts.filter(s => s.taskId.startsWith(jobId)).length;
+    }
+    return count;
+  }
+
+  private port(): TargetPort {
+    return {
+      start: (to, order) => this.order(to, t => this.start(t, order)),
+      stop: (to, order) => this.order(to, t => stop(t, order)),
+      hold: (to, order) => this.hold(to, order),
+      closeConnections: () => undefined,
+    };
+  }
+
+  private start(target: EmulatedTarget, order: StartOrder): OrderResult {
+    const {taskId, run, token, leaseEndMs} = order;
+    const before = target.starts.length;
+    const res = target.start(taskId, run, NEEDS.cores, token, leaseEndMs);
+    if (target.starts.length > before) {
+      this.recordConcurrentRuns(taskId, target);
+      if (this.faults.deadly.has(taskId)) {
+        void this.clock
+          .sleep(CRASH_DELAY_MS)
+          .then(() => this.crashTargetOf(taskId));
+      }
+    }
+    return res;
+  }
+
+  /** Crashes the target on which a task runs. */
+  crashTargetOf(taskId: TaskId): void {
+    for (const [targetId, target] of this.targets) {
+      if (target.isRunning(taskId)) {
+        this.crashes.push([...target.runs.keys()]);
+        target.crash();
+        this.faults.crashed.add(targetId);
+      }
+    }
+  }
+
+  private recordConcurrentRuns(taskId: TaskId, started: EmulatedTarget): void {
+    for (const target of this.targets.values()) {
+      if (target !== started && target.isRunning(taskId)) {
+        this.concurrentRuns.push(taskId);
+      }
+    }
+  }
+
+  private async order(
+    to: TargetEndpoint,
+    carryOut: (target: EmulatedTarget) => OrderResult,
+  ): Promise<OrderResult> {
+    const target = this.targets.get(to.targetId)!;
+    if (this.faults.crashed.has(to.targetId)) {
+      await this.clock.sleep(REFUSED_ORDER_MS);
+      return REFUSED;
+    }
+    if (this.faults.cut.has(to.targetId)) {
+      await this.clock.sleep(ORDER_TIMEOUT_MS);
+      return {kind: 'unknown', reason: 'cut'};
+    }
+    if (this.random.next() < this.faults.lateOrders) {
+      const lateMs = (2 + 3 * this.random.next()) * SECOND_MS;
+      void this.clock.sleep(lateMs).then(() => carryOut(target));
+      await this.clock.sleep(ORDER_TIMEOUT_MS);
+      return {kind: 'unknown', reason: 'late'};
+    }
+    await this.clock.sleep(this.random.next());
+    const res = carryOut(target);
+    if (this.random.next() < this.faults.lostAnswers) {
+      await this.clock.sleep(ORDER_TIMEOUT_MS);
+      return {kind: 'unknown', reason: 'answer lost'};
+    }
+    await this.clock.sleep(this.random.next());
+    return res;
+  }
+
+  private async hold(
+    to: TargetEndpoint,
+    order: HoldOrder,
+  ): Promise<HoldResult> {
+    this.holds++;
+    const target = this.targets.get(to.targetId)!;
+    const endMs = this.clock.now() + order.waitMs;
+    const hasCrashed = (): boolean => this.faults.crashed.has(to.targetId);
+    await this.clock.sleep(1);
+    if (hasCrashed()) {
+      return REFUSED;
+    }
+    target.hold(order.token, order.lastSeenEnd, order.leaseEndMs);
+    while (
+      this.clock.now() < endMs &&
+      !target.hasEndAfter(order.lastSeenEnd) &&
+      !this.faults.cut.has(to.targetId) &&
+      !hasCrashed()
+    ) {
+      await this.clock.sleep(2);
+    }
+    if (hasCrashed()) {
+      return {kind: 'unknown', reason: 'connection reset'};
+    }
+    const isLost = this.holdsToLose > 0 && order.waitMs > 0;
+    if (isLost || this.faults.cut.has(to.targetId)) {
+      this.holdsToLose -= isLost ? 1 : 0;
+      await this.clock.sleep(endMs - this.clock.now() + HOLD_ANSWER_MS);
+      return {kind: 'unknown', reason: 'cut'};
+    }
+    const res = target.hold(order.token, order.lastSeenEnd, order.leaseEndMs);
+    return res
+      ? {kind: 'held', ...res}
+      : {kind: 'rejected', reason: 'fenced', clockMs: undefined};
+  }
+}
+
+function stop(target: EmulatedTarget, order: StopOrder): OrderResult {
+  return target.stop(order.taskId, order.run, order.token);
+}
