--- a/packages/scheduling/src/_test/target_simulation.ts
+++ b/packages/scheduling/src/_test/target_simulation.ts
@@ -142,6 +142,19 @@
     return count;
   }
 
+  /** Number of tasks of a job that a run has ended as done. */
+  doneTasksOf(jobId: JobId): number {
+    const done = new Set<TaskId>();
+    for (const target of this.targets.values()) {
+      for (const taskId of target.doneTasks()) {
+        if (taskId.startsWith(jobId)) {
+          done.add(taskId);
+        }
+      }
+    }
+    return done.size;
+  }
+
   private port(): TargetPort {
     return {
       start: (to, order) => this.order(to, t => this.start(t, order)),
@@ -154,8 +167,12 @@
   private start(target: EmulatedTarget, order: StartOrder): OrderResult {
     const {taskId, run, token, leaseEndMs} = order;
     const before = target.starts.length;
+    const wasRunning = target.isRunning(taskId);
     const res = target.start(taskId, run, NEEDS.cores, token, leaseEndMs);
     if (target.starts.length > before) {
+      if (wasRunning) {
+        this.concurrentRuns.push(taskId);
+      }
       this.recordConcurrentRuns(taskId, target);
       if (this.faults.deadly.has(taskId)) {
         void this.clock
--- /dev/null
+++ b/packages/scheduling/src/scheduler/sent_again.test.ts
@@ -0,0 +1,180 @@
+import type {ScheduledJob, TargetId} from '@papayarun/protocol';
+import {describe, expect, it} from 'vitest';
+import {jobOf} from '../_test/job_of.js';
+import {reportOf} from '../_test/report_of.js';
+import {startScheduler} from '../_test/start_scheduler.js';
+import {submitViaEntry} from '../_test/submit_via_entry.js';
+import {TargetSimulation} from '../_test/target_simulation.js';
+import {waitForOutcome} from '../_test/wait_for_outcome.js';
+import type {Scheduler} from './scheduler.js';
+
+/** Time after which a caller sends an unanswered job again, in milliseconds. */
+const RESEND_MS = 1_300;
+
+/** Part of a job that an entry has split over several schedulers. */
+function partOf(
+  job: ScheduledJob,
+  firstIndex: number,
+  count: number,
+): ScheduledJob {
+  const [step] = job.steps;
+  return {
+    ...job,
+    steps: [{...step!, firstIndex, count}],
+    isPromised: true,
+  };
+}
+
+/** Begins the scheduler of another data centre, with targets of its own. */
+async function startOtherScheduler(sim: TargetSimulation): Promise<Scheduler> {
+  const scheduler = sim.scheduler();
+  scheduler.begin(1);
+  for (let i = 0; i < 6; i++) {
+    scheduler.acceptReport(sim.addTarget());
+  }
+  await sim.clock.advance(20);
+  return scheduler;
+}
+
+/** Begins a scheduler that takes over all targets, with a higher token. */
+async function startSuccessor(
+  sim: TargetSimulation,
+  targets: readonly TargetId[],
+): Promise<Scheduler> {
+  const scheduler = sim.scheduler();
+  scheduler.begin(2);
+  targets.forEach(id => scheduler.acceptReport(reportOf(id)));
+  await sim.clock.advance(20);
+  return scheduler;
+}
+
+/** Loses the answers of all targets that run something. */
+function cutBusyTargets(sim: TargetSimulation): void {
+  for (const [id, target] of sim.targets) {
+    if (target.runs.size > 0) {
+      sim.faults.cut.add(id);
+    }
+  }
+}
+
+/**
+ * Submits a job, loses the answers of its targets 600 ms before its deadline,
+ * and waits until its caller would send it again.
+ */
+async function failByDeadline(
+  sim: TargetSimulation,
+  scheduler: Scheduler,
+  job: ScheduledJob,
+): Promise<void> {
+  const first = scheduler.submit(job);
+  await sim.clock.advance(job.leftMs - 600);
+  cutBusyTargets(sim);
+  const outcome = await waitForOutcome(sim.clock, first, 3_000);
+  expect(outcome).toEqual({kind: 'failed', reason: 'deadline'});
+  await sim.clock.advance(RESEND_MS);
+}
+
+describe('A job that is sent again', () => {
+  // The outcome of the part with the first task was found for the whole job.
+  it('is not completed by the outcome of a part of it', async () => {
+    const sim = new TargetSimulation(1);
+    const scheduler = await startScheduler(sim, 4);
+    const job = jobOf(1);
+    const part = scheduler.submit(partOf(job, 0, 1));
+    await waitForOutcome(sim.clock, part, 2_000);
+    await sim.clock.advance(RESEND_MS);
+    const again = submitViaEntry(scheduler, job);
+    const outcome = await waitForOutcome(sim.clock, again, 2_000);
+    expect(outcome.kind).toBe('completed');
+    expect(sim.doneTasksOf(job.id)).toBe(4);
+  });
+
+  it('is not started beside a part of it that still runs', async () => {
+    const sim = new TargetSimulation(1, 2_500);
+    const scheduler = await startScheduler(sim, 6);
+    const job = jobOf(1, {leftMs: 6_000});
+    void scheduler.submit(partOf(job, 2, 2));
+    await sim.clock.advance(RESEND_MS);
+    const again = submitViaEntry(scheduler, job);
+    const outcome = await waitForOutcome(sim.clock, again, 6_000);
+    expect(outcome.kind).toBe('completed');
+    expect(sim.concurrentRuns).toEqual([]);
+  });
+
+  it('is not started while its first runs have not been stopped', async () => {
+    const sim = new TargetSimulation(1, 2_500);
+    const scheduler = await startScheduler(sim, 6);
+    const job = jobOf(1);
+    void scheduler.submit(job);
+    await sim.clock.advance(60);
+    sim.faults.lateOrders = 1;
+    scheduler.cancel(job.id);
+    await sim.clock.advance(100);
+    sim.faults.lateOrders = 0;
+    await waitForOutcome(sim.clock, submitViaEntry(scheduler, job), 4_000);
+    expect(sim.concurrentRuns).toEqual([]);
+  });
+
+  it('is not started while the targets of its first runs do not answer', async () => {
+    const sim = new TargetSimulation(1, 4_000);
+    const scheduler = await startScheduler(sim, 6);
+    const job = jobOf(1, {leftMs: 1_500});
+    await failByDeadline(sim, scheduler, job);
+    await waitForOutcome(sim.clock, submitViaEntry(scheduler, job), 4_000);
+    expect(sim.concurrentRuns).toEqual([]);
+  });
+
+  // Leases of runs that were given up were renewed for as long as those of others.
+  it('finds no run left at another scheduler that gave it up', async () => {
+    const sim = new TargetSimulation(1, 4_000);
+    const scheduler = await startScheduler(sim, 6);
+    const other = await startOtherScheduler(sim);
+    const job = jobOf(1, {leftMs: 1_500});
+    await failByDeadline(sim, scheduler, job);
+    await waitForOutcome(sim.clock, submitViaEntry(other, job), 4_000);
+    expect(sim.concurrentRuns).toEqual([]);
+  });
+
+  // The next scheduler renewed the leases of runs that no job had claimed.
+  it('finds no run left of a scheduler that was killed', async () => {
+    const sim = new TargetSimulation(1, 4_000);
+    const scheduler = await startScheduler(sim, 6);
+    const targets = [...sim.targets.keys()];
+    const other = await startOtherScheduler(sim);
+    const job = jobOf(1, {leftMs: 6_000});
+    void scheduler.submit(job);
+    await sim.clock.advance(600);
+    scheduler.end();
+    await sim.clock.advance(700);
+    const successor = await startSuccessor(sim, targets);
+    void successor.submit(jobOf(2, {leftMs: 6_000}));
+    await sim.clock.advance(RESEND_MS - 720);
+    await waitForOutcome(sim.clock, submitViaEntry(other, job), 4_000);
+    expect(sim.concurrentRuns).toEqual([]);
+  });
+});
+
+describe('A run that was taken over from an earlier scheduler', () => {
+  // The lease that its target was granted before the takeover was not counted.
+  it('is not started again elsewhere while its lease lasts', async () => {
+    const sim = new TargetSimulation(1, 4_000);
+    const scheduler = await startScheduler(sim, 1);
+    const [step] = jobOf(1).steps;
+    const job = jobOf(1, {leftMs: 8_000, steps: [{...step!, count: 1}]});
+    const first = scheduler.submit(job);
+    await sim.clock.advance(300);
+    const successor = sim.scheduler();
+    successor.begin(2);
+    successor.acceptReport(reportOf('t1' as TargetId));
+    successor.acceptReport(sim.addTarget());
+    await sim.clock.advance(20);
+    scheduler.end();
+    const handedOver = await first;
+    const placed = handedOver.kind === 'handedOver' ? handedOver.placed : [];
+    sim.faults.cut.add('t1' as TargetId);
+    await sim.clock.advance(1_200);
+    const again = successor.submit({...job, placed});
+    await waitForOutcome(sim.clock, again, 8_000);
+    expect(sim.concurrentRuns).toEqual([]);
+  });
+});
--- a/packages/test_kit/src/emulated_target/emulated_target.ts
+++ b/packages/test_kit/src/emulated_target/emulated_target.ts
@@ -168,6 +168,14 @@
     return this.runs.has(taskId);
   }
 
+  /** Tasks of which a run has ended as done. */
+  doneTasks(): TaskId[] {
+    this.applyElapsedTime();
+    return this.runEnds
+      .filter(end => end.how === 'done')
+      .map(({taskId}) => taskId);
+  }
+
   private extendLease(leaseEndMs: number): void {
     const maxLeaseEndMs = this.clock.now() + this.maxLeaseMs;
     this.leaseEndMs = Math.max(
