Log jobs that are sent again, given-up runs that end, and unknown runs

Change: 7010 jobSentAgain (joined, kept outcome or runs left, with the number of its tasks), 6020 abandonedRunEnded (how, and how long after the answer), 6019 unknownRunListed (a target lists a run that no job here has). The scheduler keeps the runs by task that are not known to have ended.

--- a/packages/protocol/src/event_log/event_catalogue.ts
+++ b/packages/protocol/src/event_log/event_catalogue.ts
@@ -258,6 +258,16 @@
     level: 'warn',
     text: 'target was lost with runs on it; the event has how, and their tasks',
   },
+  unknownRunListed: {
+    number: 6019,
+    level: 'info',
+    text: 'target lists a run that no job here has; an earlier scheduler ordered it, or it was taken for ended',
+  },
+  abandonedRunEnded: {
+    number: 6020,
+    level: 'info',
+    text: 'run of a job that was given up has ended; the event has how, and the time since',
+  },
   targetsAssigned: {
     number: 6016,
     level: 'info',
@@ -375,6 +385,11 @@
     level: 'warn',
     text: 'scheduler of a shard is unreachable',
   },
+  jobSentAgain: {
+    number: 7010,
+    level: 'info',
+    text: 'job arrived again; the event has the number of its tasks, and how many are done or still run',
+  },
   badRequest: {
     number: 8001,
     level: 'info',
--- a/packages/scheduling/src/_lib/run_record.ts
+++ b/packages/scheduling/src/_lib/run_record.ts
@@ -37,8 +37,8 @@
   /** Whether the crash of its target has been recorded. */
   isCrashRecorded: boolean;
   /**
-   * Whether the job was given up, so that the end of the run does not affect
-   * it.
+   * Monotonic time at which the job was given up, in milliseconds; undefined
+   * until then. The end of the run no longer affects the job.
    */
-  isAbandoned: boolean;
+  abandonedMs: number | undefined;
 }
--- a/packages/scheduling/src/_lib/target_session.ts
+++ b/packages/scheduling/src/_lib/target_session.ts
@@ -563,6 +563,11 @@
       const orphan = this.orphans.get(taskId);
       if (!orphan) {
         this.orphans.set(taskId, {runNumber, firstSeenMs: nowMs});
+        this.host.log.emit('unknownRunListed', {
+          taskId,
+          run: runNumber,
+          target: this.report.targetId,
+        });
       } else if (nowMs - orphan.firstSeenMs > ORPHAN_TIMEOUT_MS) {
         const {token} = this.host;
         this.host.log.emit('orphanStopped', {
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -9,6 +9,7 @@
   ScheduledJob,
   TargetId,
   TargetReport,
+  TaskId,
 } from '@papayarun/protocol';
 import {EMPTY_QUOTE, fitsIn} from '@papayarun/protocol';
 import type {JobRecord} from '../_lib/job_record.js';
@@ -105,6 +106,8 @@
   private readonly sessions = new Map<TargetId, TargetSession>();
   private readonly departedTargets = DepartedTargets.create();
   private readonly completedOutcomes = new Map<string, JobOutcome>();
+  /** Latest run of each task that is not known to have ended. */
+  private readonly openRuns = new Map<TaskId, RunRecord>();
   /** Jobs with unplaced tasks; sorted before each round of placement. */
   private waiting: JobRecord[] = [];
   private host: TargetSessionHost | undefined;
@@ -213,6 +216,7 @@
       session.close();
     }
     this.sessions.clear();
+    this.openRuns.clear();
     for (const record of [...this.jobs.values()]) {
       this.concludeJob(
         record,
@@ -283,10 +287,12 @@
     const key = jobKey(job);
     const present = this.jobs.get(key);
     if (present) {
+      this.logSentAgain(present, 'joined');
       return present.outcome;
     }
     const outcome = this.completedOutcomes.get(key);
     if (outcome) {
+      this.opts.log.emit('jobSentAgain', {jobId: job.id, how: 'kept outcome'});
       return Promise.resolve(outcome);
     }
     if (!this.host) {
@@ -297,6 +303,9 @@
     if (record.tasks.some(({taskId}) => this.opts.crashes.isGivenUp(taskId))) {
       return Promise.resolve({kind: 'failed', reason: 'targetLost'});
     }
+    if (record.tasks.some(({taskId}) => this.openRuns.has(taskId))) {
+      this.logSentAgain(record, 'runs left');
+    }
     this.markOrphansClaimed(record);
     if (!mayHaveRun(record) && !job.isPromised) {
       const admission = this.decideAdmission(record, slots, nowMs);
@@ -452,6 +461,19 @@
     );
   }
 
+  private logSentAgain(
+    {job, tasks}: JobRecord,
+    how: 'joined' | 'runs left',
+  ): void {
+    this.opts.log.emit('jobSentAgain', {
+      jobId: job.id,
+      how,
+      tasks: tasks.length,
+      done: tasks.filter(task => task.state === 'done').length,
+      running: tasks.filter(({taskId}) => this.openRuns.has(taskId)).length,
+    });
+  }
+
   /**
    * Marks tasks as claimed if an earlier scheduler's run of them is on a
    * target.
@@ -661,7 +683,7 @@
     run: number,
     isAdopted: boolean,
   ): RunRecord {
-    return {
+    const record: RunRecord = {
       task,
       runNumber: run,
       session,
@@ -674,18 +696,27 @@
       isOverdueChecked: false,
       isAdopted,
       isCrashRecorded: false,
-      isAbandoned: false,
+      abandonedMs: undefined,
     };
+    this.openRuns.set(task.taskId, record);
+    return record;
+  }
+
+  private removeOpenRun(run: RunRecord): void {
+    if (this.openRuns.get(run.task.taskId) === run) {
+      this.openRuns.delete(run.task.taskId);
+    }
   }
 
   private handleRunEnded(run: RunRecord, how: RunEnd): void {
     const {task, session} = run;
+    this.removeOpenRun(run);
     task.job.hasStarted = true;
     if (how === 'done') {
       session.lastDoneMs = this.opts.clock.now();
     }
     const ranMs = this.opts.clock.now() - (run.confirmedMs ?? run.orderedMs);
-    if (how === 'done' && !run.isAbandoned && !run.isAdopted) {
+    if (how === 'done' && run.abandonedMs === undefined && !run.isAdopted) {
       const {job, expectedMs, samples} = task.job;
       const declaredMs = job.steps[task.stepIndex]!.estimateMs;
       const sample = {declaredMs, ranMs: ranMs / session.slowness};
@@ -708,7 +739,11 @@
       this.recordCrash(run);
     }
     this.schedulePlacement();
-    if (run.isAbandoned || task.run !== run || task.job.isConcluded) {
+    if (run.abandonedMs !== undefined) {
+      this.logAbandonedRun(run, how, run.abandonedMs);
+      return;
+    }
+    if (task.run !== run || task.job.isConcluded) {
       return;
     }
     task.run = undefined;
@@ -731,6 +766,20 @@
     this.retryTask(task, run, how);
   }
 
+  private logAbandonedRun(
+    run: RunRecord,
+    how: RunEnd,
+    abandonedMs: number,
+  ): void {
+    this.opts.log.emit('abandonedRunEnded', {
+      taskId: run.task.taskId,
+      run: run.runNumber,
+      target: run.session.report.targetId,
+      how,
+      afterMs: Math.round(this.opts.clock.now() - abandonedMs),
+    });
+  }
+
   /**
    * Counts the crash of a target under its runs as soon as nothing listens there,
    * while they may be started elsewhere only after their lease.
@@ -771,8 +820,13 @@
 
   private handleRunNotStarted(run: RunRecord, reason: string): void {
     const {task} = run;
+    this.removeOpenRun(run);
     this.schedulePlacement();
-    if (run.isAbandoned || task.run !== run || task.job.isConcluded) {
+    if (
+      run.abandonedMs !== undefined ||
+      task.run !== run ||
+      task.job.isConcluded
+    ) {
       return;
     }
     task.run = undefined;
@@ -831,9 +885,10 @@
 
   /** Ends a job that can't be completed, and stops its runs. */
   private failJob(record: JobRecord, reason: JobFailure): void {
+    const nowMs = this.opts.clock.now();
     for (const task of record.tasks) {
       if (task.run) {
-        task.run.isAbandoned = true;
+        task.run.abandonedMs = nowMs;
         void task.run.session.stop(task.run);
       }
     }
@@ -1064,6 +1119,7 @@
 
   private removeSession(session: TargetSession, reason: string): void {
     session.close();
+    session.runs.forEach(run => this.removeOpenRun(run));
     this.sessions.delete(session.report.targetId);
     this.opts.log.emit('targetGone', {target: session.report.targetId, reason});
   }
