--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -18,6 +18,7 @@
 import type {TaskRecord} from '../_lib/task_record.js';
 import {createJobRecord} from '../_lib/create_job_record.js';
 import {hasUnplacedTask} from '../_lib/has_unplaced_task.js';
+import {DoneTasks} from '../_lib/done_tasks.js';
 import {DepartedTargets} from '../_lib/departed_targets.js';
 import {compareWaitingJobs} from '../_lib/compare_waiting_jobs.js';
 import {jobKey} from '../_lib/job_key.js';
@@ -71,11 +72,6 @@
  * removed, in milliseconds.
  */
 const TARGET_EXPIRY_MS = 10_000;
-/**
- * Most completed jobs whose outcome is kept for callers that send the job
- * again.
- */
-const MAX_KEPT_OUTCOMES = 1_024;
 /** Most run time samples in an outcome. */
 const MAX_OUTCOME_SAMPLES = 2;
 /**
@@ -105,7 +101,7 @@
   private readonly jobs = new Map<string, JobRecord>();
   private readonly sessions = new Map<TargetId, TargetSession>();
   private readonly departedTargets = DepartedTargets.create();
-  private readonly completedOutcomes = new Map<string, JobOutcome>();
+  private readonly doneTasks = DoneTasks.create();
   /** Latest run of each task that is not known to have ended. */
   private readonly openRuns = new Map<TaskId, RunRecord>();
   /** Jobs with unplaced tasks; sorted before each round of placement. */
@@ -290,22 +286,18 @@
       this.logSentAgain(present, 'joined');
       return present.outcome;
     }
-    const outcome = this.completedOutcomes.get(key);
-    if (outcome) {
-      this.opts.log.emit('jobSentAgain', {jobId: job.id, how: 'kept outcome'});
-      return Promise.resolve(outcome);
+    const nowMs = this.opts.clock.now();
+    const {record, slots} = this.prepareRecord(job, nowMs);
+    this.recallEarlierRuns(record);
+    if (record.tasks.every(task => task.state === 'done')) {
+      return Promise.resolve({kind: 'completed', samples: []});
     }
     if (!this.host) {
       return Promise.resolve(refusal('notScheduler'));
     }
-    const nowMs = this.opts.clock.now();
-    const {record, slots} = this.prepareRecord(job, nowMs);
     if (record.tasks.some(({taskId}) => this.opts.crashes.isGivenUp(taskId))) {
       return Promise.resolve({kind: 'failed', reason: 'targetLost'});
     }
-    if (record.tasks.some(({taskId}) => this.openRuns.has(taskId))) {
-      this.logSentAgain(record, 'runs left');
-    }
     this.markOrphansClaimed(record);
     if (!mayHaveRun(record) && !job.isPromised) {
       const admission = this.decideAdmission(record, slots, nowMs);
@@ -461,9 +453,23 @@
     );
   }
 
+  /** Applies what is known of the tasks from earlier submissions of their job. */
+  private recallEarlierRuns(record: JobRecord): void {
+    let isRecalled = false;
+    for (const task of record.tasks) {
+      const isDone = this.doneTasks.has(record.job.id, task.taskId);
+      task.state = isDone ? 'done' : task.state;
+      isRecalled ||= isDone || this.openRuns.has(task.taskId);
+    }
+    if (isRecalled) {
+      record.hasStarted = true;
+      this.logSentAgain(record, 'recalled');
+    }
+  }
+
   private logSentAgain(
     {job, tasks}: JobRecord,
-    how: 'joined' | 'runs left',
+    how: 'joined' | 'recalled',
   ): void {
     this.opts.log.emit('jobSentAgain', {
       jobId: job.id,
@@ -516,6 +522,7 @@
         }
         case 'ended':
           task.state = found.end.how === 'done' ? 'done' : 'waiting';
+          task.nextRunNumber = Math.max(task.nextRunNumber, found.end.run + 1);
           break;
         case undefined:
           // An order of the earlier scheduler that has not arrived yet will be
@@ -534,6 +541,30 @@
     this.completeIfDone(record);
   }
 
+  /**
+   * Marks waiting tasks as done that a run of an earlier submission completed
+   * meanwhile. A task waits for as long as such a run may exist.
+   */
+  private resolveEarlierRuns(record: JobRecord): void {
+    let isAnyDone = false;
+    for (const task of record.tasks) {
+      if (task.state !== 'waiting') {
+        continue;
+      }
+      const run = this.openRuns.get(task.taskId);
+      if (run) {
+        task.nextRunNumber = Math.max(task.nextRunNumber, run.runNumber + 1);
+      } else if (this.doneTasks.has(record.job.id, task.taskId)) {
+        task.state = 'done';
+        isAnyDone = true;
+      }
+    }
+    if (isAnyDone) {
+      this.unblockSteps(record);
+      this.completeIfDone(record);
+    }
+  }
+
   private enqueue(record: JobRecord): void {
     if (record.isConcluded || this.waiting.includes(record)) {
       return;
@@ -565,6 +596,7 @@
     const busySlots = this.loadMeter.loadAbove(Infinity, nowMs);
     for (const record of [...this.waiting]) {
       this.resolveClaims(record);
+      this.resolveEarlierRuns(record);
       const urgentSlots = this.loadMeter.loadAbove(record.job.priority, nowMs);
       const reserved = reservedSlots({
         urgentSlots,
@@ -574,7 +606,11 @@
       const placed: RunRecord[] = [];
       for (const task of record.tasks) {
         const mayPlace = reserved === 0 || slots.freeSlots > reserved;
-        if (task.state === 'waiting' && mayPlace) {
+        if (
+          task.state === 'waiting' &&
+          mayPlace &&
+          !this.openRuns.has(task.taskId)
+        ) {
           const run = this.placeTask(task, candidates);
           if (run) {
             placed.push(run);
@@ -714,6 +750,7 @@
     task.job.hasStarted = true;
     if (how === 'done') {
       session.lastDoneMs = this.opts.clock.now();
+      this.doneTasks.add(task.job.job.id, task.taskId);
     }
     const ranMs = this.opts.clock.now() - (run.confirmedMs ?? run.orderedMs);
     if (how === 'done' && run.abandonedMs === undefined && !run.isAdopted) {
@@ -908,14 +945,6 @@
     record.isConcluded = true;
     this.jobs.delete(record.key);
     this.waiting = this.waiting.filter(other => other !== record);
-    if (outcome.kind === 'completed') {
-      this.completedOutcomes.set(record.key, outcome);
-      if (this.completedOutcomes.size > MAX_KEPT_OUTCOMES) {
-        this.completedOutcomes.delete(
-          this.completedOutcomes.keys().next().value!,
-        );
-      }
-    }
     this.reportOutcome(record, outcome);
     record.resolveOutcome(outcome);
   }
@@ -1119,7 +1148,10 @@
 
   private removeSession(session: TargetSession, reason: string): void {
     session.close();
-    session.runs.forEach(run => this.removeOpenRun(run));
+    if (session.runs.size > 0) {
+      session.runs.forEach(run => this.removeOpenRun(run));
+      this.schedulePlacement();
+    }
     this.sessions.delete(session.report.targetId);
     this.opts.log.emit('targetGone', {target: session.report.targetId, reason});
   }
