Let the lease of given-up runs end before their job is sent again

What callers saw: a task that ran twice at once in two data centres after a 504. Cause: the leases of runs that were given up were renewed like those of others, for up to a lease more while their targets did not answer, and each start on such a target extended them too. A caller may send a job again 1.3 s after the answer, to a scheduler that knows nothing of them. Change: while a target has a run that was given up, its lease is not renewed and nothing is started there. Such a run ends one lease after the answer at the latest (1,000 ms, 2 % for the clock, 50 ms to stop), whoever is reached.

--- a/packages/scheduling/src/_lib/target_session.ts
+++ b/packages/scheduling/src/_lib/target_session.ts
@@ -140,7 +140,9 @@
       this.isConfirmed &&
       this.silentSinceMs === undefined &&
       this.report.state === 'ready' &&
-      this.health.kind !== 'ejected'
+      this.health.kind !== 'ejected' &&
+      // The order to start a run extends the lease of everything on the target.
+      !this.hasAbandonedRun()
     );
   }
 
@@ -396,6 +398,15 @@
     return !this.isConfirmed || this.runs.size > 0 || this.orphans.size > 0;
   }
 
+  private hasAbandonedRun(): boolean {
+    for (const run of this.runs.values()) {
+      if (run.abandonedMs !== undefined) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private retryDelayMs(): number {
     if (this.consecutiveFailures === 1) {
       return 0;
@@ -467,11 +478,15 @@
    * Whether a hold extends the lease. A target that isn't heard for a while may
    * be at work, so its lease is renewed for the length of another one. After
    * that, its runs are left to lapse, so that they can be started elsewhere.
+   *
+   * A run that was given up has to end before its job can be sent again, also at
+   * another scheduler, which knows nothing of it.
    */
   private mayRenewLease(): boolean {
     const {clock, timing} = this.host;
     return (
       this.clock.isKnown &&
+      !this.hasAbandonedRun() &&
       (this.silentSinceMs === undefined ||
         clock.now() - this.silentSinceMs < timing.maxLeaseMs)
     );
