Don't extend the lease of runs that no job has claimed after a takeover

What callers saw: a task that ran twice at once in two data centres after its scheduler was killed; also without any job sent again, where a run that was handed over was taken for ended while its lease lasted. Cause: a successor renewed the leases of the runs that it found, with holds that it didn't count, and its own starts extended them. They lived for 700 ms and a lease after the takeover, longer than callers wait before they send again. Change: a hold carries a lease only for runs of known jobs, and each one counts. Nothing is started on a target that has unclaimed runs; these are stopped after 300 ms, in which jobs that are handed over arrive. Holds wait for up to the stop time meanwhile instead of being repeated without a pause.

--- a/packages/scheduling/src/_lib/target_session.ts
+++ b/packages/scheduling/src/_lib/target_session.ts
@@ -38,9 +38,9 @@
 const IDLE_ACK_DELAY_MS = 200;
 /**
  * Time after which an unclaimed run of an earlier scheduler is stopped, in
- * milliseconds.
+ * milliseconds. Jobs that are handed over arrive within it.
  */
-const ORPHAN_TIMEOUT_MS = 700;
+const ORPHAN_TIMEOUT_MS = 300;
 /**
  * Most ends that a target lists in one answer. A list of this length may be
  * incomplete, so a run that it does not contain is not taken to be lost.
@@ -142,7 +142,8 @@
       this.report.state === 'ready' &&
       this.health.kind !== 'ejected' &&
       // The order to start a run extends the lease of everything on the target.
-      !this.hasAbandonedRun()
+      !this.hasAbandonedRun() &&
+      this.orphans.size === 0
     );
   }
 
@@ -383,7 +384,9 @@
       if (this.isClosed) {
         return;
       }
-      const isAnswered = await this.hold(this.runs.size > 0);
+      const isAnswered = await this.hold(
+        this.runs.size > 0 || this.orphans.size > 0,
+      );
       if (!isAnswered) {
         await this.host.clock.sleep(this.retryDelayMs());
       }
@@ -427,17 +430,14 @@
    * @returns Whether the target answered.
    */
   private async hold(mayWait: boolean): Promise<boolean> {
-    const {clock, port, token, timing} = this.host;
+    const {clock, port, token} = this.host;
     const waitMs =
-      mayWait &&
-      this.isConfirmed &&
-      this.orphans.size === 0 &&
-      this.consecutiveFailures === 0
-        ? Math.floor(timing.maxLeaseMs * HOLD_WAIT_SHARE)
+      mayWait && this.isConfirmed && this.consecutiveFailures === 0
+        ? this.holdWaitMs()
         : 0;
     const leaseEndMs = this.mayRenewLease() ? this.newLeaseEndMs() : undefined;
     const previousEndMs = this.leasesExpiredByMs;
-    if (leaseEndMs !== undefined && this.runs.size > 0) {
+    if (leaseEndMs !== undefined) {
       this.recordLease(leaseEndMs);
     }
     const renewedEndMs = this.leasesExpiredByMs;
@@ -474,18 +474,31 @@
     }
   }
 
+  /**
+   * Longest wait of a hold for an end, in milliseconds; short while the target
+   * has unclaimed runs, which may be claimed or have to be stopped soon.
+   */
+  private holdWaitMs(): number {
+    const {maxLeaseMs, stopMs} = this.host.timing;
+    return this.orphans.size > 0
+      ? stopMs
+      : Math.floor(maxLeaseMs * HOLD_WAIT_SHARE);
+  }
+
   /**
    * Whether a hold extends the lease. A target that isn't heard for a while may
    * be at work, so its lease is renewed for the length of another one. After
    * that, its runs are left to lapse, so that they can be started elsewhere.
    *
    * A run that was given up has to end before its job can be sent again, also at
-   * another scheduler, which knows nothing of it.
+   * another scheduler, which knows nothing of it. Nor is the lease of unclaimed
+   * runs renewed, since their callers may have been answered.
    */
   private mayRenewLease(): boolean {
     const {clock, timing} = this.host;
     return (
       this.clock.isKnown &&
+      this.runs.size > 0 &&
       !this.hasAbandonedRun() &&
       (this.silentSinceMs === undefined ||
         clock.now() - this.silentSinceMs < timing.maxLeaseMs)
--- a/packages/scheduling/src/scheduler/sent_again.test.ts
+++ b/packages/scheduling/src/scheduler/sent_again.test.ts
@@ -155,26 +155,32 @@
 });
 
 describe('A run that was taken over from an earlier scheduler', () => {
-  // The lease that its target was granted before the takeover was not counted.
-  it('is not started again elsewhere while its lease lasts', async () => {
-    const sim = new TargetSimulation(1, 4_000);
+  /** Hands a job with one run over, and returns it as the entry sends it on. */
+  async function handOver(
+    sim: TargetSimulation,
+  ): Promise<{readonly successor: Scheduler; readonly job: ScheduledJob}> {
     const scheduler = await startScheduler(sim, 1);
     const [step] = jobOf(1).steps;
     const job = jobOf(1, {leftMs: 8_000, steps: [{...step!, count: 1}]});
     const first = scheduler.submit(job);
     await sim.clock.advance(300);
-    const successor = sim.scheduler();
-    successor.begin(2);
-    successor.acceptReport(reportOf('t1' as TargetId));
+    const successor = await startSuccessor(sim, ['t1' as TargetId]);
     successor.acceptReport(sim.addTarget());
     await sim.clock.advance(20);
     scheduler.end();
     const handedOver = await first;
     const placed = handedOver.kind === 'handedOver' ? handedOver.placed : [];
+    return {successor, job: {...job, placed}};
+  }
+
+  // The lease that its target was granted before the takeover was not counted.
+  it('is not started again elsewhere while its lease lasts', async () => {
+    const sim = new TargetSimulation(1, 4_000);
+    const {successor, job} = await handOver(sim);
     sim.faults.cut.add('t1' as TargetId);
     await sim.clock.advance(1_200);
-    const again = successor.submit({...job, placed});
-    await waitForOutcome(sim.clock, again, 8_000);
+    const outcome = successor.submit(job);
+    await waitForOutcome(sim.clock, outcome, 8_000);
     expect(sim.concurrentRuns).toEqual([]);
   });
 });
