Count the lease that an earlier scheduler may have granted

What callers saw: a task that ran twice at once right after a takeover. Cause: a run that was taken over had no lease until the successor's next hold. Where its target was silent from then on, its stop made it count as ended at once, and its job, sent again, was started elsewhere. Change: the first answer of a target that lists runs counts as the grant of a whole lease.

--- a/packages/scheduling/src/_lib/target_session.ts
+++ b/packages/scheduling/src/_lib/target_session.ts
@@ -551,6 +551,10 @@
     this.updateOrphans(present);
     if (!this.isConfirmed) {
       this.isConfirmed = true;
+      if (this.orphans.size > 0) {
+        // An earlier scheduler may have granted a whole lease until just now.
+        this.recordLease(this.newLeaseEndMs());
+      }
       this.host.onChange();
     }
     if (res.ended.length > 0) {
--- a/packages/scheduling/src/scheduler/sent_again.test.ts
+++ b/packages/scheduling/src/scheduler/sent_again.test.ts
@@ -183,4 +183,22 @@
     await waitForOutcome(sim.clock, outcome, 8_000);
     expect(sim.concurrentRuns).toEqual([]);
   });
+
+  it('is not taken for ended when its job is cancelled and its target is silent', async () => {
+    const sim = new TargetSimulation(1, 4_000);
+    const {successor, job} = await handOver(sim);
+    void successor.submit(job);
+    sim.faults.cut.add('t1' as TargetId);
+    successor.cancel(job.id);
+    const t1 = reportOf('t1' as TargetId);
+    successor.acceptReport({...t1, sequence: 2, state: 'draining'});
+    await sim.clock.advance(200);
+    const again = successor.submit({
+      ...job,
+      placed: undefined,
+      isPromised: true,
+    });
+    await waitForOutcome(sim.clock, again, 8_000);
+    expect(sim.concurrentRuns).toEqual([]);
+  });
 });
