Keep the end of the last unclaimed run until its job arrives

What callers saw: work that had run was run again after a hand-over. Cause: an end of an unclaimed run was kept only while another one was there, so the end of the last one was dropped, and its task was started again. Change: the end of each unclaimed run is kept. Result: sent_again.test.ts -t "has completed": two starts before, one now.

--- a/packages/scheduling/src/_lib/target_session.ts
+++ b/packages/scheduling/src/_lib/target_session.ts
@@ -564,12 +564,12 @@
 
   private handleEnd(end: EndReport): void {
     const run = this.runs.get(end.taskId);
-    this.orphans.delete(end.taskId);
+    const wasOrphan = this.orphans.delete(end.taskId);
     if (run?.runNumber === end.run) {
       this.closeRun(run, end.how);
       return;
     }
-    if (!this.isConfirmed || this.orphans.size > 0) {
+    if (!this.isConfirmed || wasOrphan || this.orphans.size > 0) {
       this.unclaimedEnds.set(end.taskId, end);
       if (this.unclaimedEnds.size > MAX_UNCLAIMED_ENDS) {
         this.unclaimedEnds.delete(this.unclaimedEnds.keys().next().value!);
--- a/packages/scheduling/src/scheduler/sent_again.test.ts
+++ b/packages/scheduling/src/scheduler/sent_again.test.ts
@@ -201,4 +201,14 @@
     await waitForOutcome(sim.clock, again, 8_000);
     expect(sim.concurrentRuns).toEqual([]);
   });
+
+  // Its end was dropped where no other run was unclaimed.
+  it('is not started again when it has completed before its job arrives', async () => {
+    const sim = new TargetSimulation(1, 400);
+    const {successor, job} = await handOver(sim);
+    await sim.clock.advance(250);
+    const outcome = successor.submit(job);
+    await waitForOutcome(sim.clock, outcome, 8_000);
+    expect(sim.startsOf(job.id)).toBe(1);
+  });
 });
