Answer a cancelled job only when its scheduler has concluded it

Cause: on abort the submitter sent one cancel notice and answered at once. A notice is dropped by a full, lost or replaced link, and the scheduler of that part ran its tasks until the deadline, while the caller came back by another entry. Change: the call to the scheduler isn't given up on abort: its outcome or its timeout counts. Until then the notice is repeated every 100 ms. A caller that has disconnected before its job is submitted starts nothing. Measured: of the eight new tests of the submitter seven failed before, all pass now; the eighth (a part that completes after the abort doesn't complete the job) passed before too, as does the new test that a scheduler answers a cancelled submission at once.

--- a/packages/daemon/src/entry_instance/job_submitter.test.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.test.ts
@@ -9,7 +9,11 @@
   ServiceId,
   ShardId,
 } from '@papayarun/protocol';
-import {dataCentreOfShard, PeerCallError} from '@papayarun/protocol';
+import {
+  dataCentreOfShard,
+  EMPTY_QUOTE,
+  PeerCallError,
+} from '@papayarun/protocol';
 import {SilentLog, VirtualClock} from '@papayarun/test_kit';
 import {describe, expect, it} from 'vitest';
 import {JobSubmitter} from './job_submitter.js';
@@ -19,6 +23,14 @@
 const SELF = 'centro-1:7720' as InstanceId;
 const REMOTE = 'serra-1:7720' as InstanceId;
 const COMPLETED: JobOutcome = {kind: 'completed', samples: []};
+const FAILED: JobOutcome = {kind: 'failed', reason: 'deadline'};
+const CANCELLED: JobOutcome = {kind: 'failed', reason: 'cancelled'};
+const NOT_STARTED: JobOutcome = {
+  kind: 'refused',
+  reason: 'cancelled',
+  retryAfterMs: 500,
+  quote: EMPTY_QUOTE,
+};
 const NEVER = new AbortController().signal;
 
 function schedulerOf(name: string, instanceId: InstanceId): ShardScheduler {
@@ -64,7 +76,11 @@
   readonly localJobs: ScheduledJob[] = [];
   readonly remoteJobs: ScheduledJob[] = [];
   readonly cancelled: JobId[] = [];
+  /** Times at which the cancel of a job was sent to the other instance. */
+  readonly cancelNoticesMs: number[] = [];
   quoteRequests = 0;
+  /** Instance that schedules the shard of this data centre. */
+  localInstance = SELF;
   /** Shards of other schedulers. */
   others = ['serra'];
   scheduleLocally: (job: ScheduledJob) => Promise<JobOutcome> = () =>
@@ -73,8 +89,30 @@
     Promise.resolve(COMPLETED);
   quoteRemotely: () => Promise<JobQuote> = () => Promise.resolve(quoteOf());
 
-  submit(job: ScheduledJob): Promise<JobOutcome> {
-    return this.submitter.submit(job, NEVER);
+  /** Called for each cancel notice that the other instance is sent. */
+  receiveCancel: () => void = () => undefined;
+
+  submit(job: ScheduledJob, signal = NEVER): Promise<JobOutcome> {
+    return this.submitter.submit(job, signal);
+  }
+
+  /** Submits a job; the outcome is set when it has been answered. */
+  submitAndRecord(job: ScheduledJob, signal = NEVER): {outcome?: JobOutcome} {
+    const answer: {outcome?: JobOutcome} = {};
+    void this.submit(job, signal).then(outcome => {
+      answer.outcome = outcome;
+    });
+    return answer;
+  }
+
+  /** Splits each job of two tasks into a local and a remote part. */
+  splitInTwo(): void {
+    const {scheduleLocally} = this;
+    this.scheduleLocally = job =>
+      job.isPromised
+        ? scheduleLocally(job)
+        : Promise.resolve(wouldWait(60, 140));
+    this.quoteRemotely = () => Promise.resolve(quoteOf(60, 140));
   }
 
   private readonly submitter = JobSubmitter.create({
@@ -93,13 +131,14 @@
   });
 
   private finder(): SchedulerFinder {
-    const localScheduler = schedulerOf('centro', SELF);
+    const localScheduler = (): ShardScheduler =>
+      schedulerOf('centro', this.localInstance);
     const finder: Partial<SchedulerFinder> = {
       reachable: () => [
-        localScheduler,
+        localScheduler(),
         ...this.others.map(shard => schedulerOf(shard, REMOTE)),
       ],
-      localSchedulersIn: () => [localScheduler],
+      localSchedulersIn: () => [localScheduler()],
       isTakeoverRefusal: () => false,
       recordGrantChange: () => undefined,
       waitForSuccessor: () => Promise.resolve(undefined),
@@ -107,20 +146,35 @@
     return finder as SchedulerFinder;
   }
 
+  /** Ends calls on abort and timeout as a link does. */
   private network(): Pick<PeerNetwork, 'call' | 'notify'> {
     const call = async (
       _to: InstanceId,
       name: string,
       {job}: {job: ScheduledJob},
+      {timeoutMs, signal}: {timeoutMs: number; signal?: AbortSignal},
     ): Promise<unknown> => {
       if (name === 'quoteJob') {
         this.quoteRequests++;
         return {quote: await this.quoteRemotely()};
       }
       this.remoteJobs.push(job);
-      return {outcome: await this.scheduleRemotely(job)};
+      return new Promise((resolve, reject) => {
+        const fail = (message: string): void =>
+          reject(PeerCallError.create(true, message));
+        signal?.addEventListener('abort', () => fail('cancelled'));
+        void this.clock.sleep(timeoutMs).then(() => fail('timed out'));
+        this.scheduleRemotely(job).then(
+          outcome => resolve({outcome}),
+          (err: Error) => reject(err),
+        );
+      });
     };
-    return {call, notify: () => undefined} as unknown as PeerNetwork;
+    const notify = (): void => {
+      this.cancelNoticesMs.push(this.clock.now());
+      this.receiveCancel();
+    };
+    return {call, notify} as unknown as PeerNetwork;
   }
 }
 
@@ -217,4 +271,127 @@
     expect(outcome.kind).toBe('failed');
     expect(fixture.cancelled).toEqual([jobOf(2).id]);
   });
+
+  // The scheduler of the other part ran its tasks on while the caller sent the
+  // job again by another entry.
+  it('answers a failed part only when the cancelled part is concluded', async () => {
+    const fixture = new Fixture();
+    fixture.scheduleLocally = () => Promise.resolve(FAILED);
+    fixture.splitInTwo();
+    fixture.scheduleRemotely = () =>
+      new Promise(resolve => {
+        fixture.receiveCancel = () =>
+          void fixture.clock.sleep(30).then(() => resolve(CANCELLED));
+      });
+    const answer = fixture.submitAndRecord(jobOf(2));
+    await fixture.clock.advance(29);
+    expect(fixture.cancelNoticesMs).toEqual([0]);
+    expect(answer.outcome).toBeUndefined();
+    await fixture.clock.advance(1);
+    expect(answer.outcome).toEqual(FAILED);
+  });
+
+  // A notice is dropped by a full or replaced link.
+  it('repeats the cancel of a part until its scheduler has answered', async () => {
+    const fixture = new Fixture();
+    fixture.scheduleLocally = () => Promise.resolve(FAILED);
+    fixture.splitInTwo();
+    fixture.scheduleRemotely = () =>
+      new Promise(resolve => {
+        fixture.receiveCancel = () => {
+          if (fixture.cancelNoticesMs.length > 3) {
+            resolve(CANCELLED);
+          }
+        };
+      });
+    const answer = fixture.submitAndRecord(jobOf(2));
+    await fixture.clock.advance(299);
+    expect(answer.outcome).toBeUndefined();
+    await fixture.clock.advance(1_000);
+    expect(answer.outcome).toEqual(FAILED);
+    expect(fixture.cancelNoticesMs).toEqual([0, 100, 200, 300]);
+  });
+
+  it('waits for the deadline of a cancelled part whose scheduler never answers', async () => {
+    const fixture = new Fixture();
+    fixture.scheduleLocally = () => Promise.resolve(FAILED);
+    fixture.splitInTwo();
+    fixture.scheduleRemotely = () => new Promise(() => undefined);
+    const answer = fixture.submitAndRecord(jobOf(2));
+    await fixture.clock.advance(jobOf(2).leftMs);
+    expect(answer.outcome).toBeUndefined();
+    await fixture.clock.advance(100);
+    expect(answer.outcome).toEqual(FAILED);
+    const sent = fixture.cancelNoticesMs.length;
+    expect(sent).toBeLessThanOrEqual(17);
+    await fixture.clock.advance(1_000);
+    expect(fixture.cancelNoticesMs).toHaveLength(sent);
+  });
+
+  it('waits for the outcome of a job whose caller has disconnected', async () => {
+    const fixture = new Fixture();
+    fixture.localInstance = REMOTE;
+    fixture.scheduleRemotely = () =>
+      fixture.clock.sleep(200).then(() => CANCELLED);
+    const caller = new AbortController();
+    const answer = fixture.submitAndRecord(jobOf(2), caller.signal);
+    await fixture.clock.advance(50);
+    caller.abort();
+    await fixture.clock.advance(149);
+    expect(fixture.cancelNoticesMs).toEqual([50, 150]);
+    expect(answer.outcome).toBeUndefined();
+    await fixture.clock.advance(1);
+    expect(answer.outcome).toEqual(CANCELLED);
+  });
+
+  it('submits nothing for a caller that has disconnected before', async () => {
+    const fixture = new Fixture();
+    fixture.localInstance = REMOTE;
+    const outcome = await fixture.submit(jobOf(2), AbortSignal.abort());
+    expect(outcome).toMatchObject({kind: 'refused', reason: 'cancelled'});
+    expect(fixture.remoteJobs).toHaveLength(0);
+  });
+
+  it('fails a job of which only the cancelled part completes', async () => {
+    const fixture = new Fixture();
+    fixture.scheduleLocally = () => Promise.resolve(FAILED);
+    fixture.splitInTwo();
+    fixture.scheduleRemotely = () =>
+      new Promise(resolve => {
+        fixture.receiveCancel = () => resolve(COMPLETED);
+      });
+    const answer = fixture.submitAndRecord(jobOf(2));
+    await fixture.clock.advance(10);
+    expect(answer.outcome).toEqual(FAILED);
+  });
+
+  it('completes a job all of whose parts complete after the caller has disconnected', async () => {
+    const fixture = new Fixture();
+    fixture.scheduleLocally = () =>
+      fixture.clock.sleep(60).then(() => COMPLETED);
+    fixture.splitInTwo();
+    fixture.scheduleRemotely = () =>
+      fixture.clock.sleep(80).then(() => COMPLETED);
+    const caller = new AbortController();
+    const answer = fixture.submitAndRecord(jobOf(2), caller.signal);
+    await fixture.clock.advance(50);
+    caller.abort();
+    await fixture.clock.advance(29);
+    expect(answer.outcome).toBeUndefined();
+    await fixture.clock.advance(1);
+    expect(answer.outcome).toEqual(COMPLETED);
+  });
+
+  it('refuses a job none of whose parts was started', async () => {
+    const fixture = new Fixture();
+    fixture.scheduleLocally = () => Promise.resolve(NOT_STARTED);
+    fixture.splitInTwo();
+    fixture.scheduleRemotely = () =>
+      new Promise(resolve => {
+        fixture.receiveCancel = () => resolve(NOT_STARTED);
+      });
+    const answer = fixture.submitAndRecord(jobOf(2));
+    await fixture.clock.advance(10);
+    expect(answer.outcome).toEqual(NOT_STARTED);
+  });
 });
--- a/packages/daemon/src/entry_instance/job_submitter.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.ts
@@ -18,6 +18,11 @@
  * respond, in milliseconds.
  */
 const RESPONSE_GRACE_MS = 100;
+/**
+ * Interval at which a scheduler is asked to cancel a job until it has answered,
+ * in milliseconds; spans many round trips, so that overload adds few notices.
+ */
+const CANCEL_INTERVAL_MS = 100;
 /** Delay between attempts while a scheduler takes over, in milliseconds. */
 const TAKEOVER_RETRY_DELAY_MS = 20;
 /**
@@ -50,6 +55,10 @@
   retryAfterMs: NO_SCHEDULER_RETRY_MS,
   quote: EMPTY_QUOTE,
 };
+const CANCELLED_REFUSAL: Extract<JobOutcome, {kind: 'refused'}> = {
+  ...NO_SCHEDULER_REFUSAL,
+  reason: 'cancelled',
+};
 const SCHEDULER_LOST_FAILURE = {
   kind: 'failed',
   reason: 'schedulerLost',
@@ -166,35 +175,51 @@
     }
   }
 
+  /**
+   * Runs a job on a scheduler. An abort cancels the job there, but doesn't end
+   * the wait for its outcome: its tasks may run until the scheduler has
+   * concluded it.
+   */
   private async submitTo(
-    {shard, grant}: ShardScheduler,
+    scheduler: ShardScheduler,
     job: ScheduledJob,
     signal: AbortSignal,
   ): Promise<JobOutcome> {
-    const {instanceId} = grant;
-    const {network, self} = this.opts;
-    if (instanceId === self) {
-      const cancel = (): void => this.opts.cancel(job.id);
-      signal.addEventListener('abort', cancel, {once: true});
-      const outcome = await this.opts.schedule(shard, job);
+    if (signal.aborted) {
+      return CANCELLED_REFUSAL;
+    }
+    const {instanceId} = scheduler.grant;
+    const ended = new AbortController();
+    const cancel = (): void =>
+      void this.cancelUntilEnded(instanceId, job, ended.signal);
+    signal.addEventListener('abort', cancel, {once: true});
+    try {
+      return instanceId === this.opts.self
+        ? await this.opts.schedule(scheduler.shard, job)
+        : await this.submitToPeer(scheduler, job);
+    } finally {
       signal.removeEventListener('abort', cancel);
-      return outcome;
+      ended.abort();
     }
+  }
+
+  private async submitToPeer(
+    {shard, grant: {instanceId}}: ShardScheduler,
+    job: ScheduledJob,
+  ): Promise<JobOutcome> {
+    const {network} = this.opts;
     const timeoutMs = Math.max(1, job.leftMs) + RESPONSE_GRACE_MS;
     try {
-      const opts = {timeoutMs, signal};
       const req = {job, shard};
-      const res = await network.call(instanceId, 'scheduleJob', req, opts);
+      const res = await network.call(instanceId, 'scheduleJob', req, {
+        timeoutMs,
+      });
       if (res.outcome.kind === 'completed') {
         // This instance may become the next scheduler.
         res.outcome.samples.forEach(s => this.opts.recordRunTime(job.kind, s));
       }
       return res.outcome;
     } catch (err) {
-      if (signal.aborted) {
-        network.notify(instanceId, 'cancelJob', {jobId: job.id});
-        return {kind: 'failed', reason: 'cancelled'};
-      }
       this.opts.log.emit('schedulerLost', {
         jobId: job.id,
         shard,
@@ -207,6 +232,26 @@
     }
   }
 
+  /**
+   * Cancels a job at its scheduler. A notice to another instance may be lost,
+   * so it is repeated until the submission has ended.
+   */
+  private async cancelUntilEnded(
+    instanceId: InstanceId,
+    {id: jobId}: ScheduledJob,
+    ended: AbortSignal,
+  ): Promise<void> {
+    const {clock, network, self} = this.opts;
+    if (instanceId === self) {
+      this.opts.cancel(jobId);
+      return;
+    }
+    while (!ended.aborted) {
+      network.notify(instanceId, 'cancelJob', {jobId});
+      await clock.sleep(CANCEL_INTERVAL_MS, ended);
+    }
+  }
+
   /** As many schedulers as may still be asked for a quote, the nearest first. */
   private withinBudget(
     schedulers: readonly ShardScheduler[],
--- /dev/null
+++ b/packages/daemon/src/entry_instance/local_schedulers.test.ts
@@ -0,0 +1,101 @@
+import type {
+  BootId,
+  DataCentreId,
+  InstanceId,
+  JobId,
+  JobOutcome,
+  KindId,
+  ScheduledJob,
+  ServiceId,
+  ShardId,
+} from '@papayarun/protocol';
+import {SilentLog, VirtualClock} from '@papayarun/test_kit';
+import {describe, expect, it} from 'vitest';
+import {LocalSchedulers} from './local_schedulers.js';
+import type {LocalSchedulersOptions} from './local_schedulers_options.js';
+
+const SELF = 'centro-1:7720' as InstanceId;
+const ENTRY = 'serra-1:7720' as InstanceId;
+const SHARD = 'centro' as ShardId;
+const BOOT = 'b' as BootId;
+
+/** Job or part of one, which waits for a target if it is promised. */
+function jobOf(firstIndex: number, isPromised: boolean): ScheduledJob {
+  const needs = {cores: 14, memoryMb: 64, accelerators: 0};
+  return {
+    id: '5c0e7a21d94b36f8' as JobId,
+    kind: 'relato' as KindId,
+    service: 'falhas' as ServiceId,
+    spec: '',
+    steps: [{count: 2, firstIndex, needs, estimateMs: 60, after: []}],
+    priority: 0,
+    maxAttempts: 4,
+    stretch: 1.6,
+    slackMs: 60,
+    ageMs: 0,
+    leftMs: 1_500,
+    isPromised,
+  };
+}
+
+const JOB = jobOf(0, true);
+
+/** Schedulers of one shard, without targets. */
+class Fixture {
+  readonly clock = VirtualClock.create();
+  private readonly schedulers = LocalSchedulers.create(this.options());
+
+  constructor() {
+    this.schedulers.applyGrants(BOOT);
+  }
+
+  get local(): LocalSchedulers {
+    return this.schedulers;
+  }
+
+  /** Submits a job; the outcome is set when the scheduler has concluded it. */
+  submit(requester: InstanceId, job: ScheduledJob): {outcome?: JobOutcome} {
+    const answer: {outcome?: JobOutcome} = {};
+    void this.schedulers.submit(requester, SHARD, job).then(outcome => {
+      answer.outcome = outcome;
+    });
+    return answer;
+  }
+
+  private options(): LocalSchedulersOptions {
+    const ignore = (): void => undefined;
+    const grant = {instanceId: SELF, boot: BOOT, token: 1};
+    const store = {state: {schedulers: {[SHARD]: grant}, targetShards: {}}};
+    return {
+      self: SELF,
+      dataCentre: 'centro' as DataCentreId,
+      targetClient: {} as LocalSchedulersOptions['targetClient'],
+      timing: {maxLeaseMs: 1_000, stopMs: 50, reportMs: 0},
+      store: store as unknown as LocalSchedulersOptions['store'],
+      clock: this.clock,
+      log: SilentLog.create(),
+      metrics: {
+        recordJob: ignore,
+        recordForecastError: ignore,
+        recordFreeSlots: ignore,
+      },
+      loopLagMs: () => 0,
+      onTaskLost: ignore,
+    };
+  }
+}
+
+describe('LocalSchedulers', () => {
+  it('answers the submission of a job at once when it is cancelled', async () => {
+    const fixture = new Fixture();
+    const answer = fixture.submit(ENTRY, JOB);
+    await fixture.clock.advance(30);
+    expect(answer.outcome).toBeUndefined();
+    fixture.local.cancel(ENTRY, JOB.id);
+    await fixture.clock.advance(0);
+    expect(answer.outcome).toMatchObject({
+      kind: 'refused',
+      reason: 'cancelled',
+    });
+  });
+});
