Count the submissions of a job that wait for its outcome

Cause: a scheduler's instance kept a set of the instances that wait for each job id and dropped it when one submission of the id ended, so a later cancel or the loss of a link cancelled nothing and the other submission ran on with nobody waiting. Two submissions by one entry were one member of the set: the disconnect of the first caller cancelled the job of the second. Change: each submission is kept until it has ended or is cancelled. A cancel withdraws all submissions of an instance, so that it can be repeated; an entry sends it only when none of its callers waits for the job at that scheduler any more. Conclusion: a cancel ends a job if and only if no submission of it is left there.

--- a/packages/daemon/src/entry_instance/job_submitter.test.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.test.ts
@@ -394,4 +394,59 @@
     await fixture.clock.advance(10);
     expect(answer.outcome).toEqual(NOT_STARTED);
   });
+
+  // Both submissions were one requester at the scheduler, and the disconnect of
+  // the first caller cancelled the job of the second.
+  it.each([SELF, REMOTE])(
+    'keeps a job at %s that a second caller of the same entry waits for',
+    async scheduler => {
+      const fixture = new Fixture();
+      fixture.localInstance = scheduler;
+      const run = (): Promise<JobOutcome> =>
+        fixture.clock.sleep(300).then(() => COMPLETED);
+      fixture.scheduleLocally = run;
+      fixture.scheduleRemotely = run;
+      const callers = [new AbortController(), new AbortController()];
+      const cancels = (): number =>
+        fixture.cancelled.length + fixture.cancelNoticesMs.length;
+      for (const {signal} of callers) {
+        fixture.submitAndRecord(jobOf(2), signal);
+      }
+      await fixture.clock.advance(50);
+      callers[0]!.abort();
+      await fixture.clock.advance(100);
+      expect(cancels()).toBe(0);
+      callers[1]!.abort();
+      expect(cancels()).toBe(1);
+    },
+  );
+
+  it('cancels the job of the second caller after that of the first has ended', async () => {
+    const fixture = new Fixture();
+    fixture.localInstance = REMOTE;
+    const caller = new AbortController();
+    fixture.scheduleRemotely = () => Promise.resolve(COMPLETED);
+    await fixture.submit(jobOf(2));
+    fixture.scheduleRemotely = () => new Promise(() => undefined);
+    fixture.submitAndRecord(jobOf(2), caller.signal);
+    await fixture.clock.advance(50);
+    caller.abort();
+    expect(fixture.cancelNoticesMs).toEqual([50]);
+  });
+
+  it('cancels both parts of a job at one instance when its caller disconnects', async () => {
+    const fixture = new Fixture();
+    fixture.localInstance = REMOTE;
+    fixture.scheduleRemotely = job =>
+      job.isPromised
+        ? new Promise(() => undefined)
+        : Promise.resolve(wouldWait(60, 140));
+    fixture.quoteRemotely = () => Promise.resolve(quoteOf(60, 140));
+    const caller = new AbortController();
+    fixture.submitAndRecord(jobOf(2), caller.signal);
+    await fixture.clock.advance(50);
+    expect(fixture.remoteJobs).toHaveLength(3);
+    caller.abort();
+    expect(fixture.cancelNoticesMs).toEqual([50]);
+  });
 });
--- a/packages/daemon/src/entry_instance/job_submitter.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.ts
@@ -12,6 +12,7 @@
 import type {JobSubmitterOptions} from './job_submitter_options.js';
 import {selectQuoted} from './select_quoted.js';
 import type {ShardScheduler} from './shard_scheduler.js';
+import {WaitingSubmissions} from './waiting_submissions.js';
 
 /**
  * Time beyond the deadline of the caller in which a scheduler may still
@@ -72,6 +73,8 @@
   private readonly quoteBudget = RetryBudget.create(QUOTES_PER_JOB);
   /** Monotonic time until which a scheduler isn't asked for another quote. */
   private readonly quoteBackoffUntilMs = new Map<InstanceId, number>();
+  /** A scheduler knows the instance that waits for a job, not its callers. */
+  private readonly submissions = WaitingSubmissions.create();
 
   private constructor(private readonly opts: JobSubmitterOptions) {}
 
@@ -190,6 +193,7 @@
     }
     const {instanceId} = scheduler.grant;
     const ended = new AbortController();
+    this.submissions.add(instanceId, job);
     const cancel = (): void =>
       void this.cancelUntilEnded(instanceId, job, ended.signal);
     signal.addEventListener('abort', cancel, {once: true});
@@ -199,6 +203,7 @@
         : await this.submitToPeer(scheduler, job);
     } finally {
       signal.removeEventListener('abort', cancel);
+      this.submissions.remove(instanceId, job);
       ended.abort();
     }
   }
@@ -233,21 +238,25 @@
   }
 
   /**
-   * Cancels a job at its scheduler. A notice to another instance may be lost,
-   * so it is repeated until the submission has ended.
+   * Cancels a submission at its scheduler, once no other caller waits for the
+   * job there. A notice to another instance may be lost, so it is repeated
+   * until the submission has ended.
    */
   private async cancelUntilEnded(
     instanceId: InstanceId,
-    {id: jobId}: ScheduledJob,
+    job: ScheduledJob,
     ended: AbortSignal,
   ): Promise<void> {
     const {clock, network, self} = this.opts;
-    if (instanceId === self) {
-      this.opts.cancel(jobId);
-      return;
-    }
+    this.submissions.remove(instanceId, job);
     while (!ended.aborted) {
-      network.notify(instanceId, 'cancelJob', {jobId});
+      if (!this.submissions.has(instanceId, job.id)) {
+        if (instanceId === self) {
+          this.opts.cancel(job.id);
+          return;
+        }
+        network.notify(instanceId, 'cancelJob', {jobId: job.id});
+      }
       await clock.sleep(CANCEL_INTERVAL_MS, ended);
     }
   }
--- a/packages/daemon/src/entry_instance/local_schedulers.test.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.test.ts
@@ -16,6 +16,7 @@
 
 const SELF = 'centro-1:7720' as InstanceId;
 const ENTRY = 'serra-1:7720' as InstanceId;
+const OTHER_ENTRY = 'ribeira-1:7720' as InstanceId;
 const SHARD = 'centro' as ShardId;
 const BOOT = 'b' as BootId;
 
@@ -98,4 +99,52 @@
       reason: 'cancelled',
     });
   });
+
+  // The end of one submission of a job dropped the others of the same job.
+  it('cancels a job for an entry after a submission of another entry was refused', async () => {
+    const fixture = new Fixture();
+    const answer = fixture.submit(ENTRY, JOB);
+    const refused = fixture.submit(OTHER_ENTRY, jobOf(2, false));
+    await fixture.clock.advance(30);
+    expect(refused.outcome).toMatchObject({kind: 'refused'});
+    expect(answer.outcome).toBeUndefined();
+    fixture.local.cancel(ENTRY, JOB.id);
+    await fixture.clock.advance(0);
+    expect(answer.outcome).toMatchObject({reason: 'cancelled'});
+  });
+
+  it('cancels the jobs of a lost link after another submission of them was refused', async () => {
+    const fixture = new Fixture();
+    const answer = fixture.submit(ENTRY, JOB);
+    fixture.submit(ENTRY, jobOf(2, false));
+    await fixture.clock.advance(30);
+    expect(answer.outcome).toBeUndefined();
+    fixture.local.cancelAllOf(ENTRY);
+    await fixture.clock.advance(0);
+    expect(answer.outcome).toMatchObject({reason: 'cancelled'});
+  });
+
+  it('keeps a job that another entry waits for until that one cancels it too', async () => {
+    const fixture = new Fixture();
+    const answer = fixture.submit(ENTRY, JOB);
+    fixture.submit(OTHER_ENTRY, JOB);
+    fixture.local.cancel(ENTRY, JOB.id);
+    fixture.local.cancel(ENTRY, JOB.id);
+    await fixture.clock.advance(30);
+    expect(answer.outcome).toBeUndefined();
+    fixture.local.cancel(OTHER_ENTRY, JOB.id);
+    await fixture.clock.advance(0);
+    expect(answer.outcome).toMatchObject({reason: 'cancelled'});
+  });
+
+  it('keeps a job that its entry has submitted again after a cancel', async () => {
+    const fixture = new Fixture();
+    fixture.submit(ENTRY, JOB);
+    fixture.submit(OTHER_ENTRY, JOB);
+    fixture.local.cancel(ENTRY, JOB.id);
+    const again = fixture.submit(ENTRY, JOB);
+    fixture.local.cancel(OTHER_ENTRY, JOB.id);
+    await fixture.clock.advance(30);
+    expect(again.outcome).toBeUndefined();
+  });
 });
--- a/packages/daemon/src/entry_instance/local_schedulers.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.ts
@@ -28,6 +28,11 @@
   quote: EMPTY_QUOTE,
 };
 
+/** Submission of a job or of a part of one, whose outcome an instance waits for. */
+interface Submission {
+  readonly requester: InstanceId;
+}
+
 /**
  * Schedulers of the shards that are granted to this entry instance.
  */
@@ -38,8 +43,11 @@
   private appliedTargetShards: ControlState['targetShards'] | undefined;
   /** Token of the last grant of each shard that a target has rejected. */
   private readonly fencedTokens = new Map<ShardId, number>();
-  /** Instances that wait for the outcome of each job, by shard and job. */
-  private readonly requesters = new Map<ShardId, Map<JobId, Set<InstanceId>>>();
+  /** Submissions without an outcome, except cancelled ones. */
+  private readonly submissions = new Map<
+    ShardId,
+    Map<JobId, Set<Submission>>
+  >();
 
   private constructor(private readonly opts: LocalSchedulersOptions) {
     this.crashes = CrashEvidence.create(opts.onTaskLost);
@@ -101,12 +109,18 @@
     if (!scheduler) {
       return NOT_SCHEDULER;
     }
-    const byJob = this.requestersOf(shard);
-    const requesters = byJob.get(job.id) ?? new Set();
-    byJob.set(job.id, requesters.add(requester));
-    const outcome = await scheduler.submit(job);
-    byJob.delete(job.id);
-    return outcome;
+    const byJob = this.submissionsOf(shard);
+    const submissions = byJob.get(job.id) ?? new Set();
+    const submission: Submission = {requester};
+    byJob.set(job.id, submissions.add(submission));
+    try {
+      return await scheduler.submit(job);
+    } finally {
+      submissions.delete(submission);
+      if (submissions.size === 0 && byJob.get(job.id) === submissions) {
+        byJob.delete(job.id);
+      }
+    }
   }
 
   /** Estimates when the tasks of a job would end on a shard. */
@@ -129,12 +143,18 @@
     this.crashes.recordLoss(loss, this.opts.clock.now());
   }
 
-  /** Cancels a job unless another instance waits for it too. */
+  /**
+   * Cancels all submissions of a job by an instance, and ends the job unless
+   * another instance waits for it too.
+   */
   cancel(requester: InstanceId, jobId: JobId): void {
-    for (const [shard, byJob] of this.requesters) {
-      const requesters = byJob.get(jobId);
-      requesters?.delete(requester);
-      if (requesters?.size === 0) {
+    for (const [shard, byJob] of this.submissions) {
+      const submissions = byJob.get(jobId) ?? new Set();
+      const cancelled = [...submissions].filter(
+        submission => submission.requester === requester,
+      );
+      cancelled.forEach(submission => submissions.delete(submission));
+      if (cancelled.length > 0 && submissions.size === 0) {
         this.schedulers.get(shard)?.cancel(jobId);
       }
     }
@@ -143,9 +163,9 @@
   /** Cancels all jobs of an instance that no other one waits for. */
   cancelAllOf(requester: InstanceId): void {
     const jobIds = new Set<JobId>();
-    for (const byJob of this.requesters.values()) {
-      for (const [jobId, requesters] of byJob) {
-        if (requesters.has(requester)) {
+    for (const byJob of this.submissions.values()) {
+      for (const [jobId, submissions] of byJob) {
+        if ([...submissions].some(other => other.requester === requester)) {
           jobIds.add(jobId);
         }
       }
@@ -241,11 +261,11 @@
     return scheduler;
   }
 
-  private requestersOf(shard: ShardId): Map<JobId, Set<InstanceId>> {
-    let byJob = this.requesters.get(shard);
+  private submissionsOf(shard: ShardId): Map<JobId, Set<Submission>> {
+    let byJob = this.submissions.get(shard);
     if (!byJob) {
       byJob = new Map();
-      this.requesters.set(shard, byJob);
+      this.submissions.set(shard, byJob);
     }
     return byJob;
   }
--- /dev/null
+++ b/packages/daemon/src/entry_instance/waiting_submissions.ts
@@ -0,0 +1,48 @@
+import type {InstanceId, JobId, ScheduledJob} from '@papayarun/protocol';
+
+/**
+ * Submissions of this instance, each of a job or of a part of one, whose
+ * outcome a caller waits for.
+ */
+export class WaitingSubmissions {
+  private readonly byJob = new Map<string, Set<ScheduledJob>>();
+
+  private constructor() {}
+
+  /**
+   * Creates the record of no submissions.
+   *
+   * @returns The record.
+   * @example
+   * const submissions = WaitingSubmissions.create();
+   */
+  static create(): WaitingSubmissions {
+    return new WaitingSubmissions();
+  }
+
+  /** Adds a submission; each has a job object of its own. */
+  add(scheduler: InstanceId, job: ScheduledJob): void {
+    const key = keyOf(scheduler, job.id);
+    const jobs = this.byJob.get(key) ?? new Set();
+    this.byJob.set(key, jobs.add(job));
+  }
+
+  /** Removes a submission that has ended or that no caller waits for. */
+  remove(scheduler: InstanceId, job: ScheduledJob): void {
+    const key = keyOf(scheduler, job.id);
+    const jobs = this.byJob.get(key);
+    jobs?.delete(job);
+    if (jobs?.size === 0) {
+      this.byJob.delete(key);
+    }
+  }
+
+  /** Whether a caller waits for a job, or for a part of it, at a scheduler. */
+  has(scheduler: InstanceId, jobId: JobId): boolean {
+    return this.byJob.has(keyOf(scheduler, jobId));
+  }
+}
+
+function keyOf(scheduler: InstanceId, jobId: JobId): string {
+  return `${jobId} ${scheduler}`;
+}
