Answer the part of a split job that failed first

Cause: the answer of a split job was the failure of its first part in task order. That part is often only cancelled, since another one has failed: the caller got 504, and sent a job again whose own task had failed, or 503 for a refusal that was 429. Change: the outcome of the part that ended first without success is answered. Conclusion: one cause fewer for a job to be sent again.

--- a/packages/daemon/src/entry_instance/job_submitter.test.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.test.ts
@@ -24,8 +24,9 @@
 const REMOTE = 'serra-1:7720' as InstanceId;
 const COMPLETED: JobOutcome = {kind: 'completed', samples: []};
 const FAILED: JobOutcome = {kind: 'failed', reason: 'deadline'};
+const TASK_FAILED: JobOutcome = {kind: 'failed', reason: 'taskFailed'};
 const CANCELLED: JobOutcome = {kind: 'failed', reason: 'cancelled'};
-const NOT_STARTED: JobOutcome = {
+const NOT_STARTED: Extract<JobOutcome, {kind: 'refused'}> = {
   kind: 'refused',
   reason: 'cancelled',
   retryAfterMs: 500,
@@ -76,6 +77,8 @@
   readonly localJobs: ScheduledJob[] = [];
   readonly remoteJobs: ScheduledJob[] = [];
   readonly cancelled: JobId[] = [];
+  /** Aborted when a job is cancelled at the scheduler of this instance. */
+  readonly localCancel = new AbortController();
   /** Times at which the cancel of a job was sent to the other instance. */
   readonly cancelNoticesMs: number[] = [];
   quoteRequests = 0;
@@ -126,7 +129,10 @@
       this.localJobs.push(job);
       return this.scheduleLocally(job);
     },
-    cancel: jobId => this.cancelled.push(jobId),
+    cancel: jobId => {
+      this.cancelled.push(jobId);
+      this.localCancel.abort();
+    },
     recordRunTime: () => undefined,
   });
 
@@ -449,4 +455,38 @@
     caller.abort();
     expect(fixture.cancelNoticesMs).toEqual([50]);
   });
+
+  // The answer was 504 for the cancel of a part that comes first in the job, so
+  // the caller sent a job again whose tasks fail.
+  it.each([TASK_FAILED, FAILED])(
+    'answers the outcome of the part that failed first: $reason',
+    async failure => {
+      const fixture = new Fixture();
+      fixture.scheduleLocally = () =>
+        new Promise(resolve => {
+          const {signal} = fixture.localCancel;
+          signal.addEventListener('abort', () => resolve(CANCELLED));
+        });
+      fixture.splitInTwo();
+      fixture.scheduleRemotely = () => Promise.resolve(failure);
+      const answer = fixture.submitAndRecord(jobOf(2));
+      await fixture.clock.advance(10);
+      expect(answer.outcome).toEqual(failure);
+    },
+  );
+
+  it('answers the refusal of the part that was refused first', async () => {
+    const fixture = new Fixture();
+    const refusal: JobOutcome = {...NOT_STARTED, reason: 'tooLate'};
+    fixture.scheduleLocally = () =>
+      new Promise(resolve => {
+        const {signal} = fixture.localCancel;
+        signal.addEventListener('abort', () => resolve(NOT_STARTED));
+      });
+    fixture.splitInTwo();
+    fixture.scheduleRemotely = () => Promise.resolve(refusal);
+    const answer = fixture.submitAndRecord(jobOf(2));
+    await fixture.clock.advance(10);
+    expect(answer.outcome).toEqual(refusal);
+  });
 });
--- a/packages/daemon/src/entry_instance/job_submitter.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.ts
@@ -330,35 +330,37 @@
       lastEndsMs: quotes.map(({endsMs}) => Math.round(Math.max(0, ...endsMs))),
       limitsMs: quotes.map(({limitMs}) => Math.round(limitMs)),
     });
-    const outcomes = await Promise.all(
+    let completed = 0;
+    /** In the order of their ends: the first is the cause of the others. */
+    const unsuccessful: Array<Exclude<JobOutcome, {kind: 'completed'}>> = [];
+    await Promise.all(
       schedulers.map(async (scheduler, i) => {
         const part = parts[i];
         if (!part) {
-          return undefined;
+          return;
         }
         const outcome = await this.submitWithHandover(
           scheduler,
           part,
           partsAbort.signal,
         );
-        if (outcome.kind !== 'completed') {
+        if (outcome.kind === 'completed') {
+          completed++;
+        } else {
+          unsuccessful.push(outcome);
           partsAbort.abort();
         }
-        return outcome;
       }),
     );
     signal.removeEventListener('abort', cancel);
-    const partOutcomes = outcomes.filter(outcome => outcome !== undefined);
-    const unsuccessful = partOutcomes.filter(
-      outcome => outcome.kind !== 'completed',
-    );
-    const failed = unsuccessful.find(outcome => outcome.kind === 'failed');
-    if (unsuccessful.length === 0) {
+    const [cause] = unsuccessful;
+    if (!cause) {
       return {kind: 'completed', samples: []};
     }
-    return unsuccessful.length === partOutcomes.length && !failed
-      ? unsuccessful[0]!
-      : (failed ?? {kind: 'failed', reason: 'schedulerLost'});
+    const failed = unsuccessful.find(outcome => outcome.kind === 'failed');
+    return completed === 0 && !failed
+      ? cause
+      : (failed ?? SCHEDULER_LOST_FAILURE);
   }
 
   /** Runs a job on a scheduler, and on its successors if it hands the job over. */
