Cancel a job whose scheduler did not answer its call

Cause: a call that waited on its link (a link between entries counts as silent after 4.5 s only) reached the scheduler after the entry had answered 504 for its timeout, and ran for its whole time there, with nobody waiting. Change: a call that ends without an answer is followed by one cancel notice. Measured: two new tests failed before and pass now. Conclusion: helps only where a link is left; a job behind a lost link still runs until the scheduler notices the loss.

--- a/packages/daemon/src/entry_instance/job_submitter.test.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.test.ts
@@ -489,4 +489,31 @@
     await fixture.clock.advance(10);
     expect(answer.outcome).toEqual(refusal);
   });
+
+  // A call that was held up on its link arrived after its timeout, and the
+  // scheduler ran the job while the caller sent it again.
+  it('cancels a job whose scheduler did not answer in time', async () => {
+    const fixture = new Fixture();
+    fixture.localInstance = REMOTE;
+    fixture.scheduleRemotely = () => new Promise(() => undefined);
+    const answer = fixture.submitAndRecord(jobOf(2));
+    await fixture.clock.advance(1_599);
+    expect(fixture.cancelNoticesMs).toEqual([]);
+    await fixture.clock.advance(1);
+    expect(fixture.cancelNoticesMs).toEqual([1_600]);
+    expect(answer.outcome).toMatchObject({reason: 'schedulerLost'});
+  });
+
+  it('cancels no job that another caller waits for when a call times out', async () => {
+    const fixture = new Fixture();
+    fixture.localInstance = REMOTE;
+    fixture.scheduleRemotely = () => new Promise(() => undefined);
+    fixture.submitAndRecord(jobOf(2));
+    await fixture.clock.advance(800);
+    fixture.submitAndRecord(jobOf(2));
+    await fixture.clock.advance(1_599);
+    expect(fixture.cancelNoticesMs).toEqual([]);
+    await fixture.clock.advance(1);
+    expect(fixture.cancelNoticesMs).toEqual([2_400]);
+  });
 });
--- a/packages/daemon/src/entry_instance/job_submitter.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.ts
@@ -231,33 +231,43 @@
         scheduler: instanceId,
         err: (err as Error).message,
       });
-      return err instanceof PeerCallError && !err.mayHaveBeenSent
-        ? NO_SCHEDULER_REFUSAL
-        : SCHEDULER_LOST_FAILURE;
+      if (err instanceof PeerCallError && !err.mayHaveBeenSent) {
+        return NO_SCHEDULER_REFUSAL;
+      }
+      // A call that was held up may arrive only now, and start the job.
+      this.withdraw(instanceId, job);
+      return SCHEDULER_LOST_FAILURE;
     }
   }
 
   /**
-   * Cancels a submission at its scheduler, once no other caller waits for the
-   * job there. A notice to another instance may be lost, so it is repeated
-   * until the submission has ended.
+   * Cancels a submission. A notice to another instance may be lost, so it is
+   * repeated until the submission has ended.
    */
   private async cancelUntilEnded(
     instanceId: InstanceId,
     job: ScheduledJob,
     ended: AbortSignal,
   ): Promise<void> {
-    const {clock, network, self} = this.opts;
-    this.submissions.remove(instanceId, job);
     while (!ended.aborted) {
-      if (!this.submissions.has(instanceId, job.id)) {
-        if (instanceId === self) {
-          this.opts.cancel(job.id);
-          return;
-        }
-        network.notify(instanceId, 'cancelJob', {jobId: job.id});
-      }
-      await clock.sleep(CANCEL_INTERVAL_MS, ended);
+      this.withdraw(instanceId, job);
+      await this.opts.clock.sleep(CANCEL_INTERVAL_MS, ended);
+    }
+  }
+
+  /**
+   * Withdraws a submission from its scheduler, and cancels the job there if no
+   * other caller waits for it.
+   */
+  private withdraw(instanceId: InstanceId, job: ScheduledJob): void {
+    this.submissions.remove(instanceId, job);
+    if (this.submissions.has(instanceId, job.id)) {
+      return;
+    }
+    if (instanceId === this.opts.self) {
+      this.opts.cancel(job.id);
+    } else {
+      this.opts.network.notify(instanceId, 'cancelJob', {jobId: job.id});
     }
   }
 
