Cancel the jobs of a replaced link, not those of the new one

Cause: when a newer link to a peer replaces one, the loss of the old one is observed after the new one is up, and calls that arrive with the end of the handshake come before it: the jobs of the new link were cancelled with those of the old one. Change: the node reports the loss when the new link is up, before anything is received by it, and doesn't report it again when the old socket has closed. Measured: a test with real links saw call, call, loss before, and sees call, loss, call now. Calls on the replaced link were already answered as lost, and the loss of an only link reported; two tests keep that. Conclusion: a scheduler cancels exactly the jobs whose link is gone.

--- a/packages/daemon/src/cluster_node/cluster_node.ts
+++ b/packages/daemon/src/cluster_node/cluster_node.ts
@@ -127,6 +127,7 @@
   node: () => ClusterNode,
 ): Promise<WsPeerNetwork> {
   const {cfg, log} = opts;
+  const linkedPeers = new Set<InstanceId>();
   return WsPeerNetwork.create(
     {
       self: cfg.instanceId,
@@ -140,10 +141,21 @@
       linkTimeoutMs: peer => node().membership.timeoutOf(peer),
       linkCheckMs: cfg.peerTimeoutMs / LINK_CHECKS_PER_TIMEOUT,
       observer: {
-        linkUp: peer => log.emit('linkUp', {peer}),
+        linkUp: peer => {
+          log.emit('linkUp', {peer});
+          // The loss of a replaced link may be reported only after work has
+          // come by the new one.
+          if (linkedPeers.has(peer)) {
+            opts.onLinkDown(peer);
+          }
+          linkedPeers.add(peer);
+        },
         linkDown: (peer, reason) => {
           log.emit('linkDown', {peer, reason});
-          opts.onLinkDown(peer);
+          if (!node().network.connectedPeers().includes(peer)) {
+            linkedPeers.delete(peer);
+            opts.onLinkDown(peer);
+          }
         },
         linkRefused: reason => log.emit('linkRefused', {reason}),
         sent: (type, bytes) => opts.metrics.countMessage(type, bytes),
--- a/packages/daemon/src/cluster_node/cluster_node_options.ts
+++ b/packages/daemon/src/cluster_node/cluster_node_options.ts
@@ -24,7 +24,10 @@
   readonly maxTargets: number;
   /** Whether this instance keeps a link to a peer. */
   readonly shouldLink: (peer: KnownInstance, state: ControlState) => boolean;
-  /** Called when the link to a peer is lost. */
+  /**
+   * Called when the link to a peer is lost, or a newer one has replaced it and
+   * nothing has been received by that yet.
+   */
   readonly onLinkDown: (peer: KnownInstance['instanceId']) => void;
   /**
    * Called after this process was paused for longer than the peer timeout and
