--- a/packages/daemon/src/entry_instance/job_submitter.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.ts
@@ -12,12 +12,18 @@
 import type {JobSubmitterOptions} from './job_submitter_options.js';
 import {selectQuoted} from './select_quoted.js';
 import type {ShardScheduler} from './shard_scheduler.js';
+import {WaitingSubmissions} from './waiting_submissions.js';
 
 /**
  * Time beyond the deadline of the caller in which a scheduler may still
  * respond, in milliseconds.
  */
 const RESPONSE_GRACE_MS = 100;
+/**
+ * Interval at which a scheduler is asked to cancel a job until it has answered,
+ * in milliseconds; spans many round trips, so that overload adds few notices.
+ */
+const CANCEL_INTERVAL_MS = 100;
 /** Delay between attempts while a scheduler takes over, in milliseconds. */
 const TAKEOVER_RETRY_DELAY_MS = 20;
 /**
@@ -50,6 +56,10 @@
   retryAfterMs: NO_SCHEDULER_RETRY_MS,
   quote: EMPTY_QUOTE,
 };
+const CANCELLED_REFUSAL: Extract<JobOutcome, {kind: 'refused'}> = {
+  ...NO_SCHEDULER_REFUSAL,
+  reason: 'cancelled',
+};
 const SCHEDULER_LOST_FAILURE = {
   kind: 'failed',
   reason: 'schedulerLost',
@@ -63,6 +73,8 @@
   private readonly quoteBudget = RetryBudget.create(QUOTES_PER_JOB);
   /** Monotonic time until which a scheduler isn't asked for another quote. */
   private readonly quoteBackoffUntilMs = new Map<InstanceId, number>();
+  /** A scheduler knows the instance that waits for a job, not its callers. */
+  private readonly submissions = WaitingSubmissions.create();
 
   private constructor(private readonly opts: JobSubmitterOptions) {}
 
@@ -166,44 +178,96 @@
     }
   }
 
+  /**
+   * Runs a job on a scheduler. An abort cancels the job there, but doesn't end
+   * the wait for its outcome: its tasks may run until the scheduler has
+   * concluded it.
+   */
   private async submitTo(
-    {shard, grant}: ShardScheduler,
+    scheduler: ShardScheduler,
     job: ScheduledJob,
     signal: AbortSignal,
   ): Promise<JobOutcome> {
-    const {instanceId} = grant;
-    const {network, self} = this.opts;
-    if (instanceId === self) {
-      const cancel = (): void => this.opts.cancel(job.id);
-      signal.addEventListener('abort', cancel, {once: true});
-      const outcome = await this.opts.schedule(shard, job);
+    if (signal.aborted) {
+      return CANCELLED_REFUSAL;
+    }
+    const {instanceId} = scheduler.grant;
+    const ended = new AbortController();
+    this.submissions.add(instanceId, job);
+    const cancel = (): void =>
+      void this.cancelUntilEnded(instanceId, job, ended.signal);
+    signal.addEventListener('abort', cancel, {once: true});
+    try {
+      return instanceId === this.opts.self
+        ? await this.opts.schedule(scheduler.shard, job)
+        : await this.submitToPeer(scheduler, job);
+    } finally {
       signal.removeEventListener('abort', cancel);
-      return outcome;
+      this.submissions.remove(instanceId, job);
+      ended.abort();
     }
+  }
+
+  private async submitToPeer(
+    {shard, grant: {instanceId}}: ShardScheduler,
+    job: ScheduledJob,
+  ): Promise<JobOutcome> {
+    const {network} = this.opts;
     const timeoutMs = Math.max(1, job.leftMs) + RESPONSE_GRACE_MS;
     try {
-      const opts = {timeoutMs, signal};
       const req = {job, shard};
-      const res = await network.call(instanceId, 'scheduleJob', req, opts);
+      const res = await network.call(instanceId, 'scheduleJob', req, {
+        timeoutMs,
+      });
       if (res.outcome.kind === 'completed') {
         // This instance may become the next scheduler.
         res.outcome.samples.forEach(s => this.opts.recordRunTime(job.kind, s));
       }
       return res.outcome;
     } catch (err) {
-      if (signal.aborted) {
-        network.notify(instanceId, 'cancelJob', {jobId: job.id});
-        return {kind: 'failed', reason: 'cancelled'};
-      }
       this.opts.log.emit('schedulerLost', {
         jobId: job.id,
         shard,
         scheduler: instanceId,
         err: (err as Error).message,
       });
-      return err instanceof PeerCallError && !err.mayHaveBeenSent
-        ? NO_SCHEDULER_REFUSAL
-        : SCHEDULER_LOST_FAILURE;
+      if (err instanceof PeerCallError && !err.mayHaveBeenSent) {
+        return NO_SCHEDULER_REFUSAL;
+      }
+      // A call that was held up may arrive only now, and start the job.
+      this.withdraw(instanceId, job);
+      return SCHEDULER_LOST_FAILURE;
+    }
+  }
+
+  /**
+   * Cancels a submission. A notice to another instance may be lost, so it is
+   * repeated until the submission has ended.
+   */
+  private async cancelUntilEnded(
+    instanceId: InstanceId,
+    job: ScheduledJob,
+    ended: AbortSignal,
+  ): Promise<void> {
+    while (!ended.aborted) {
+      this.withdraw(instanceId, job);
+      await this.opts.clock.sleep(CANCEL_INTERVAL_MS, ended);
+    }
+  }
+
+  /**
+   * Withdraws a submission from its scheduler, and cancels the job there if no
+   * other caller waits for it.
+   */
+  private withdraw(instanceId: InstanceId, job: ScheduledJob): void {
+    this.submissions.remove(instanceId, job);
+    if (this.submissions.has(instanceId, job.id)) {
+      return;
+    }
+    if (instanceId === this.opts.self) {
+      this.opts.cancel(job.id);
+    } else {
+      this.opts.network.notify(instanceId, 'cancelJob', {jobId: job.id});
     }
   }
 
@@ -276,35 +340,37 @@
       lastEndsMs: quotes.map(({endsMs}) => Math.round(Math.max(0, ...endsMs))),
       limitsMs: quotes.map(({limitMs}) => Math.round(limitMs)),
     });
-    const outcomes = await Promise.all(
+    let completed = 0;
+    /** In the order of their ends: the first is the cause of the others. */
+    const unsuccessful: Array<Exclude<JobOutcome, {kind: 'completed'}>> = [];
+    await Promise.all(
       schedulers.map(async (scheduler, i) => {
         const part = parts[i];
         if (!part) {
-          return undefined;
+          return;
         }
         const outcome = await this.submitWithHandover(
           scheduler,
           part,
           partsAbort.signal,
         );
-        if (outcome.kind !== 'completed') {
+        if (outcome.kind === 'completed') {
+          completed++;
+        } else {
+          unsuccessful.push(outcome);
           partsAbort.abort();
         }
-        return outcome;
       }),
     );
     signal.removeEventListener('abort', cancel);
-    const partOutcomes = outcomes.filter(outcome => outcome !== undefined);
-    const unsuccessful = partOutcomes.filter(
-      outcome => outcome.kind !== 'completed',
-    );
-    const failed = unsuccessful.find(outcome => outcome.kind === 'failed');
-    if (unsuccessful.length === 0) {
+    const [cause] = unsuccessful;
+    if (!cause) {
       return {kind: 'completed', samples: []};
     }
-    return unsuccessful.length === partOutcomes.length && !failed
-      ? unsuccessful[0]!
-      : (failed ?? {kind: 'failed', reason: 'schedulerLost'});
+    const failed = unsuccessful.find(outcome => outcome.kind === 'failed');
+    return completed === 0 && !failed
+      ? cause
+      : (failed ?? SCHEDULER_LOST_FAILURE);
   }
 
   /** Runs a job on a scheduler, and on its successors if it hands the job over. */
