Search for tasks that run twice when their job is sent again

Cause: the tests of TWICE were single cases; no test sent jobs again to other data centres while answers, targets and schedulers were lost.

--- /dev/null
+++ b/packages/scheduling/src/_test/simulated_data_centre.ts
@@ -0,0 +1,83 @@
+import type {TargetId} from '@papayarun/protocol';
+import {reportOf} from './report_of.js';
+import {SimulatedScheduler} from './simulated_scheduler.js';
+import type {TargetSimulation} from './target_simulation.js';
+
+/** Time from the crash of a target until another one replaces it. */
+const REPLACEMENT_MS = 1_000;
+/** Period of the reports of the targets, in milliseconds. */
+const REPORT_PERIOD_MS = 1_000;
+
+/**
+ * Data centre with targets of its own and one scheduler at a time.
+ */
+export class SimulatedDataCentre {
+  readonly targetIds: TargetId[] = [];
+  scheduler: SimulatedScheduler;
+  private token = 1;
+
+  constructor(
+    private readonly simulation: TargetSimulation,
+    targets: number,
+  ) {
+    this.scheduler = new SimulatedScheduler(simulation, this.token);
+    for (let n = 0; n < targets; n++) {
+      this.addTarget();
+    }
+    void this.reportTargets();
+  }
+
+  /** Ends the scheduler, which passes its jobs on to a successor. */
+  async handOver(gapMs: number): Promise<void> {
+    this.scheduler.scheduler.end();
+    await this.startSuccessor(gapMs);
+  }
+
+  /** Kills the scheduler, and starts a successor after some time. */
+  async kill(gapMs: number): Promise<void> {
+    this.scheduler.kill();
+    await this.startSuccessor(gapMs);
+  }
+
+  /** Crashes a target for good, and adds another one later. */
+  async crash(targetId: TargetId): Promise<void> {
+    const {clock, faults, targets} = this.simulation;
+    if (!faults.crashed.has(targetId)) {
+      targets.get(targetId)!.crash();
+      faults.crashed.add(targetId);
+      await clock.sleep(REPLACEMENT_MS);
+      this.addTarget();
+    }
+  }
+
+  private async startSuccessor(gapMs: number): Promise<void> {
+    const token = ++this.token;
+    await this.simulation.clock.sleep(gapMs);
+    // Another end of the scheduler may have been followed by a later grant.
+    if (token === this.token) {
+      this.scheduler = new SimulatedScheduler(this.simulation, token);
+      this.reportAll();
+    }
+  }
+
+  private addTarget(): void {
+    const report = this.simulation.addTarget();
+    this.targetIds.push(report.targetId);
+    this.scheduler.acceptReport(report);
+  }
+
+  private async reportTargets(): Promise<void> {
+    for (;;) {
+      await this.simulation.clock.sleep(REPORT_PERIOD_MS);
+      this.reportAll();
+    }
+  }
+
+  private reportAll(): void {
+    for (const targetId of this.targetIds) {
+      if (!this.simulation.faults.crashed.has(targetId)) {
+        this.scheduler.acceptReport(reportOf(targetId));
+      }
+    }
+  }
+}
--- a/packages/scheduling/src/_test/target_simulation.ts
+++ b/packages/scheduling/src/_test/target_simulation.ts
@@ -18,6 +18,7 @@
 import type {TargetEndpoint} from '../target_port/target_endpoint.js';
 import type {TargetPort} from '../target_port/target_port.js';
 import {reportOf} from './report_of.js';
+import type {SchedulerLink} from './scheduler_link.js';
 import {CORES, MAX_LEASE_MS, NEEDS, STOP_MS} from './simulation_values.js';
 
 const ORDER_TIMEOUT_MS = 100;
@@ -39,8 +40,12 @@
  */
 interface Faults {
   lostAnswers: number;
-  /** Orders that get no answer and are carried out seconds later. */
+  /** Orders that get no answer and are carried out later. */
   lateOrders: number;
+  /** Shortest delay of a late order, in milliseconds. */
+  minLateMs: number;
+  /** Longest delay of a late order, in milliseconds. */
+  maxLateMs: number;
   readonly cut: Set<TargetId>;
   /** Targets that have crashed, at whose addresses nothing listens. */
   readonly crashed: Set<TargetId>;
@@ -59,6 +64,8 @@
   readonly faults: Faults = {
     lostAnswers: 0,
     lateOrders: 0,
+    minLateMs: 2 * SECOND_MS,
+    maxLateMs: 5 * SECOND_MS,
     cut: new Set(),
     crashed: new Set(),
     deadly: new Set(),
@@ -66,6 +73,8 @@
   /** Tasks that ran on each target when it crashed, in the order of the crashes. */
   readonly crashes: TaskId[][] = [];
   readonly concurrentRuns: string[] = [];
+  /** Run times of the tasks of some jobs that differ from `runMs`. */
+  readonly runMsOfJobs = new Map<JobId, number>();
   /** Number of the next waiting holds that get no answer. */
   holdsToLose = 0;
   /** Holds that were sent to targets. */
@@ -91,7 +100,8 @@
       this.random,
       CORES,
       MAX_LEASE_MS,
-      () => this.runMs,
+      taskId =>
+        this.runMsOfJobs.get(taskId.split('.')[0] as JobId) ?? this.runMs,
     );
     this.targets.set(targetId, target);
     return reportOf(targetId);
@@ -99,10 +109,14 @@
 
   /**
    * @param ownsMoved - Whether the log assigns the moved targets to its shard.
+   * @param link - Link of the scheduler to all targets.
    */
-  scheduler(ownsMoved = false): Scheduler {
+  scheduler(
+    ownsMoved = false,
+    link: SchedulerLink = {isDown: false},
+  ): Scheduler {
     return Scheduler.create({
-      targetClient: this.port(),
+      targetClient: this.port(link),
       clock: this.clock,
       log: this.log,
       timing: {
@@ -155,11 +169,14 @@
     return done.size;
   }
 
-  private port(): TargetPort {
+  private port(link: SchedulerLink): TargetPort {
+    const send = <T>(carryOut: () => Promise<T>): Promise<T> =>
+      link.isDown ? new Promise(() => undefined) : carryOut();
     return {
-      start: (to, order) => this.order(to, t => this.start(t, order)),
-      stop: (to, order) => this.order(to, t => stop(t, order)),
-      hold: (to, order) => this.hold(to, order),
+      start: (to, order) =>
+        send(() => this.order(to, t => this.start(t, order))),
+      stop: (to, order) => send(() => this.order(to, t => stop(t, order))),
+      hold: (to, order) => send(() => this.hold(to, order)),
       closeConnections: () => undefined,
     };
   }
@@ -216,7 +233,8 @@
       return {kind: 'unknown', reason: 'cut'};
     }
     if (this.random.next() < this.faults.lateOrders) {
-      const lateMs = (2 + 3 * this.random.next()) * SECOND_MS;
+      const {minLateMs, maxLateMs} = this.faults;
+      const lateMs = minLateMs + (maxLateMs - minLateMs) * this.random.next();
       void this.clock.sleep(lateMs).then(() => carryOut(target));
       await this.clock.sleep(ORDER_TIMEOUT_MS);
       return {kind: 'unknown', reason: 'late'};
