Let unclaimed runs end also beside a run that was taken over

What callers saw: a task that ran twice at once in two data centres. Cause: a successor renewed the lease of a target for a run that it had taken over, and so for one there that no job claimed and whose stop came late. Change: the lease of a target isn't renewed while it has unclaimed runs. Result: left_behind_runs.test.ts -t "has ended": failed before, passes.

--- a/packages/scheduling/src/_lib/target_session.ts
+++ b/packages/scheduling/src/_lib/target_session.ts
@@ -491,14 +491,15 @@
    * that, its runs are left to lapse, so that they can be started elsewhere.
    *
    * A run that was given up has to end before its job can be sent again, also at
-   * another scheduler, which knows nothing of it. Nor is the lease of unclaimed
-   * runs renewed, since their callers may have been answered.
+   * another scheduler, which knows nothing of it. So does an unclaimed run, since
+   * its caller may have been answered.
    */
   private mayRenewLease(): boolean {
     const {clock, timing} = this.host;
     return (
       this.clock.isKnown &&
       this.runs.size > 0 &&
+      this.orphans.size === 0 &&
       !this.hasAbandonedRun() &&
       (this.silentSinceMs === undefined ||
         clock.now() - this.silentSinceMs < timing.maxLeaseMs)
