Check a job's deadline soon after it arrives at an idle scheduler

What callers saw: an answer up to 200 ms after the deadline. Cause: the first job after a while without any waited for the slow period of the checks, as one that is handed over after its deadline. Change: a new job ends the sleep of the checks.

--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -25,6 +25,7 @@
 import {mayHaveRun} from '../_lib/may_have_run.js';
 import {placedTasks} from '../_lib/placed_tasks.js';
 import {slotFreeTimes} from '../_lib/slot_free_times.js';
+import {Sleeper} from '../_lib/sleeper.js';
 import {totalSlots} from '../_lib/total_slots.js';
 import {TargetSession} from '../_lib/target_session.js';
 import {admitJob} from '../admit_job/admit_job.js';
@@ -108,6 +109,7 @@
   private waiting: JobRecord[] = [];
   private host: TargetSessionHost | undefined;
   private endController = new AbortController();
+  private readonly watchSleeper: Sleeper;
   private sequence = 0;
   private beganMs = -Infinity;
   /** Monotonic time at which the latest new target was added. */
@@ -118,6 +120,7 @@
 
   private constructor(private readonly opts: SchedulerOptions) {
     this.estimator = opts.estimator;
+    this.watchSleeper = Sleeper.create(opts.clock);
   }
 
   /**
@@ -208,6 +211,7 @@
     }
     this.host = undefined;
     this.endController.abort();
+    this.watchSleeper.wake();
     for (const session of this.sessions.values()) {
       session.close();
     }
@@ -321,6 +325,7 @@
     );
     this.loadMeter.add(job.priority, workMs, nowMs);
     this.jobs.set(key, record);
+    this.watchSleeper.wake();
     this.unblockSteps(record);
     this.completeIfDone(record);
     this.placeWaitingTasks();
@@ -989,9 +994,11 @@
 
   private async watchLoop(ending: AbortSignal): Promise<void> {
     while (!ending.aborted) {
-      const periodMs =
-        this.jobs.size > 0 ? WATCH_PERIOD_MS : IDLE_WATCH_PERIOD_MS;
-      await this.opts.clock.sleep(periodMs, ending);
+      if (this.jobs.size === 0) {
+        await this.watchSleeper.sleep(IDLE_WATCH_PERIOD_MS);
+      } else {
+        await this.opts.clock.sleep(WATCH_PERIOD_MS, ending);
+      }
       if (ending.aborted) {
         return;
       }
