Keep room and sound work of targets whose given-up runs are being stopped

What callers saw: jobs refused beside free room for some hundred milliseconds after a cancel or a takeover; jobs that failed beside a given-up run whose stops got lost. Cause: a target with a given-up or unclaimed run counted as not available, for admission too, and its lease wasn't renewed at all. Change: such a target counts for admission; only the order to start waits. Its lease is renewed up to a whole lease after the first run was given up, which given-up runs may have anyway.

--- a/packages/scheduling/src/_lib/target_session.ts
+++ b/packages/scheduling/src/_lib/target_session.ts
@@ -140,10 +140,19 @@
       this.isConfirmed &&
       this.silentSinceMs === undefined &&
       this.report.state === 'ready' &&
-      this.health.kind !== 'ejected' &&
-      // The order to start a run extends the lease of everything on the target.
-      !this.hasAbandonedRun() &&
-      this.orphans.size === 0
+      this.health.kind !== 'ejected'
+    );
+  }
+
+  /**
+   * Whether a run may be ordered now. An order to start a run extends the lease
+   * of everything on the target, also of what has to end soon.
+   */
+  get mayStartRun(): boolean {
+    return (
+      this.isAvailable &&
+      this.orphans.size === 0 &&
+      this.firstAbandonedMs() === undefined
     );
   }
 
@@ -401,13 +410,15 @@
     return !this.isConfirmed || this.runs.size > 0 || this.orphans.size > 0;
   }
 
-  private hasAbandonedRun(): boolean {
-    for (const run of this.runs.values()) {
-      if (run.abandonedMs !== undefined) {
-        return true;
+  /** Time at which the first of the runs was given up; undefined if none was. */
+  private firstAbandonedMs(): number | undefined {
+    let firstMs: number | undefined;
+    for (const {abandonedMs} of this.runs.values()) {
+      if (abandonedMs !== undefined) {
+        firstMs = Math.min(firstMs ?? abandonedMs, abandonedMs);
       }
     }
-    return false;
+    return firstMs;
   }
 
   private retryDelayMs(): number {
@@ -435,7 +446,7 @@
       mayWait && this.isConfirmed && this.consecutiveFailures === 0
         ? this.holdWaitMs()
         : 0;
-    const leaseEndMs = this.mayRenewLease() ? this.newLeaseEndMs() : undefined;
+    const leaseEndMs = this.renewedLeaseEndMs();
     const previousEndMs = this.leasesExpiredByMs;
     if (leaseEndMs !== undefined) {
       this.recordLease(leaseEndMs);
@@ -490,9 +501,8 @@
    * be at work, so its lease is renewed for the length of another one. After
    * that, its runs are left to lapse, so that they can be started elsewhere.
    *
-   * A run that was given up has to end before its job can be sent again, also at
-   * another scheduler, which knows nothing of it. So does an unclaimed run, since
-   * its caller may have been answered.
+   * An unclaimed run has to end soon, since its caller may have been answered
+   * and may send the job again, also to a scheduler that knows nothing of it.
    */
   private mayRenewLease(): boolean {
     const {clock, timing} = this.host;
@@ -500,12 +510,26 @@
       this.clock.isKnown &&
       this.runs.size > 0 &&
       this.orphans.size === 0 &&
-      !this.hasAbandonedRun() &&
       (this.silentSinceMs === undefined ||
         clock.now() - this.silentSinceMs < timing.maxLeaseMs)
     );
   }
 
+  /**
+   * End of the lease that a hold carries, on the target's clock, in
+   * milliseconds; undefined if it carries none. A run that was given up gets no
+   * more than a whole lease from then on.
+   */
+  private renewedLeaseEndMs(): number | undefined {
+    if (!this.mayRenewLease()) {
+      return undefined;
+    }
+    const abandonedMs = this.firstAbandonedMs();
+    return abandonedMs === undefined
+      ? this.newLeaseEndMs()
+      : this.clock.at(abandonedMs) + this.host.timing.maxLeaseMs;
+  }
+
   /** Handles a rejection that concerns the target as a whole. */
   private handleHoldRejection(reason: OrderRejection): boolean {
     if (reason === 'fenced') {
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -631,7 +631,7 @@
   private availableCandidates(): SessionCandidate[] {
     const candidates: SessionCandidate[] = [];
     for (const session of this.sessions.values()) {
-      if (session.isAvailable) {
+      if (session.mayStartRun) {
         candidates.push({
           session,
           targetId: session.report.targetId,
