Find the runs of a job also after its target moved or it was handed over

What callers saw: tasks that ran twice at once where two submissions of a job met; a job that was sent again and waited for its deadline with no target left. Cause: the open runs of a target that another shard took over were forgotten with its session, a hand-over named only the runs of its own submission, and a known job skipped the check for targets. Change: open runs of a removed session are kept until their lease has ended; a hand-over names all runs of its tasks; a known job without targets is answered at once.

--- a/packages/scheduling/src/_lib/placed_tasks.ts
+++ b/packages/scheduling/src/_lib/placed_tasks.ts
@@ -1,25 +1,32 @@
-import type {PlacedTask, TargetId} from '@papayarun/protocol';
+import type {PlacedTask, TargetId, TaskId} from '@papayarun/protocol';
 import type {JobRecord} from './job_record.js';
+import type {RunRecord} from './run_record.js';
 
 /**
  * Placed tasks of a job, for the handover to the next scheduler.
  *
  * @param record - The job.
+ * @param openRuns - Runs that aren't known to have ended, by task; also those of
+ *   other submissions of the job.
  * @returns The tasks that are done or may be on a target.
  * @throws Never.
  * @example
- * placedTasks(record);
+ * placedTasks(record, openRuns);
  */
-export function placedTasks(record: JobRecord): PlacedTask[] {
+export function placedTasks(
+  record: JobRecord,
+  openRuns: ReadonlyMap<TaskId, RunRecord>,
+): PlacedTask[] {
   return record.tasks.flatMap(task => {
-    const targetId = task.run?.session.report.targetId ?? task.claimedTargetId;
+    const run = task.run ?? openRuns.get(task.taskId);
+    const targetId = run?.session.report.targetId ?? task.claimedTargetId;
     const isDone = task.state === 'done';
     return isDone || targetId !== undefined
       ? [
           {
             taskId: task.taskId,
             targetId: targetId ?? ('' as TargetId),
-            run: task.nextRunNumber - 1,
+            run: Math.max(task.nextRunNumber - 1, run?.runNumber ?? 0),
             isDone,
           },
         ]
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -216,15 +216,15 @@
       session.close();
     }
     this.sessions.clear();
-    this.openRuns.clear();
     for (const record of [...this.jobs.values()]) {
       this.concludeJob(
         record,
         mayHaveRun(record)
-          ? {kind: 'handedOver', placed: placedTasks(record)}
+          ? {kind: 'handedOver', placed: placedTasks(record, this.openRuns)}
           : refusal('notScheduler'),
       );
     }
+    this.openRuns.clear();
     const {shard} = this.opts;
     this.opts.log.emit('schedulerEnded', {shard, token: host.token});
   }
@@ -292,13 +292,16 @@
     }
     const nowMs = this.opts.clock.now();
     const {record, slots} = this.prepareRecord(job, nowMs);
-    this.recallEarlierRuns(record);
+    const isRecalled = this.recallEarlierRuns(record);
     if (record.tasks.every(task => task.state === 'done')) {
       return Promise.resolve({kind: 'completed', samples: []});
     }
     if (!this.host) {
       return Promise.resolve(refusal('notScheduler'));
     }
+    if (isRecalled && slots === 0 && !this.hasOpenRun(record)) {
+      return Promise.resolve({kind: 'failed', reason: 'schedulerLost'});
+    }
     if (record.tasks.some(({taskId}) => this.opts.crashes.isGivenUp(taskId))) {
       return Promise.resolve({kind: 'failed', reason: 'targetLost'});
     }
@@ -325,7 +328,9 @@
     );
     this.loadMeter.add(job.priority, workMs, nowMs);
     this.jobs.set(key, record);
-    this.watchSleeper.wake();
+    if (job.leftMs < IDLE_WATCH_PERIOD_MS) {
+      this.watchSleeper.wake();
+    }
     this.unblockSteps(record);
     this.completeIfDone(record);
     this.placeWaitingTasks();
@@ -458,8 +463,12 @@
     );
   }
 
-  /** Applies what is known of the tasks from earlier submissions of their job. */
-  private recallEarlierRuns(record: JobRecord): void {
+  /**
+   * Applies what is known of the tasks from earlier submissions of their job.
+   *
+   * @returns Whether anything is known.
+   */
+  private recallEarlierRuns(record: JobRecord): boolean {
     let isRecalled = false;
     for (const task of record.tasks) {
       const isDone = this.doneTasks.has(record.job.id, task.taskId);
@@ -470,6 +479,7 @@
       record.hasStarted = true;
       this.logSentAgain(record, 'recalled');
     }
+    return isRecalled;
   }
 
   private logSentAgain(
@@ -743,6 +753,10 @@
     return record;
   }
 
+  private hasOpenRun(record: JobRecord): boolean {
+    return record.tasks.some(({taskId}) => this.openRuns.has(taskId));
+  }
+
   private removeOpenRun(run: RunRecord): void {
     if (this.openRuns.get(run.task.taskId) === run) {
       this.openRuns.delete(run.task.taskId);
@@ -1153,11 +1167,19 @@
     }
   }
 
+  /** Forgets the runs of a removed session when their lease has ended. */
+  private async removeLostRuns(session: TargetSession): Promise<void> {
+    const {clock} = this.opts;
+    const leftMs = Math.max(0, session.latestRunEndMs - clock.now());
+    await clock.sleep(leftMs, this.endController.signal);
+    session.runs.forEach(run => this.removeOpenRun(run));
+    this.schedulePlacement();
+  }
+
   private removeSession(session: TargetSession, reason: string): void {
     session.close();
     if (session.runs.size > 0) {
-      session.runs.forEach(run => this.removeOpenRun(run));
-      this.schedulePlacement();
+      void this.removeLostRuns(session);
     }
     this.sessions.delete(session.report.targetId);
     this.opts.log.emit('targetGone', {target: session.report.targetId, reason});
