Send what a replica missed in requests that fit into a frame

Callers saw: once a replica's disk had been full under a stream of large changes, and had room again, changes stayed unanswered while the disk of another one was full, and nothing but a compaction would have ended that. All processes ran. Cause: the leader sent up to 128 entries in one request, however large. A request over the frame limit is lost with its link, and is sent again as it was: the replica counts as silent and never catches up, so the next loss leaves no majority. Change: a request gets entries until their commands exceed 1 MiB, one at least. Tests: the control client at each of three and five replicas after their disks were full in turn (refused writes, refused truncation, nearly full); MemoryDisk gets a capacity, MemoryNetwork a frame limit.

--- /dev/null
+++ b/packages/daemon/src/control_client/control_client.test.ts
@@ -0,0 +1,238 @@
+import type {InstanceId, ReplicaId} from '@papayarun/protocol';
+import {SeededRandom} from '@papayarun/protocol';
+import {ControlStore} from '@papayarun/releases';
+import {Replica} from '@papayarun/replication';
+import {
+  MemoryDisk,
+  MemoryNetwork,
+  SilentLog,
+  VirtualClock,
+} from '@papayarun/test_kit';
+import {describe, expect, it} from 'vitest';
+import {ControlClient} from './control_client.js';
+
+const ELECTION_TIMEOUT_MS = 500;
+const LEADER_TIMEOUT_MS = 2_000;
+/** Entries after which a log is compacted within a few seconds of the stream. */
+const COMPACT_SOON = 20;
+const COMPACT_LATE = 512;
+const SYNC_MS = 9;
+const MAX_DELAY_MS = 4;
+const SMALL_BYTES = 300;
+const LARGE_BYTES = 256 * 1024;
+/** Less than the changes of `LARGE_BYTES` that one full disk misses. */
+const MAX_FRAME_BYTES = 2 * 1024 * 1024;
+/** Time between two changes of the stream. */
+const CHANGE_INTERVAL_MS = 150;
+/** Time for which each disk is full. */
+const FULL_MS = 3_000;
+/** Time in which a change has to be acknowledged. */
+const ACKNOWLEDGE_MS = 4_000;
+/** Time after which a log whose disks have room counts as undisturbed. */
+const CALM_AFTER_MS = 3_000;
+
+/** How a disk is full. */
+type Fullness = 'refusesAll' | 'refusesTruncation' | 'nearlyFull';
+
+interface Node {
+  readonly name: InstanceId;
+  readonly disk: MemoryDisk;
+  readonly replica: Replica;
+  readonly client: ControlClient;
+}
+
+/** Replicas with a control client each, under a stream of changes. */
+class ControlCluster {
+  readonly clock = VirtualClock.create();
+  readonly log = SilentLog.create();
+  readonly nodes: Node[] = [];
+  private readonly random;
+  private readonly net;
+  private revision = 0;
+
+  constructor(
+    seed: number,
+    /** Size of the text in each configuration, in bytes. */
+    private readonly textBytes: number,
+    private readonly compactAfterEntries: number,
+  ) {
+    this.random = SeededRandom.create(seed);
+    this.net = MemoryNetwork.create(this.clock, this.random, MAX_DELAY_MS);
+    this.net.maxFrameBytes = MAX_FRAME_BYTES;
+  }
+
+  async form(size: number): Promise<void> {
+    const names = Array.from({length: size}, (_, n) => `n${n}` as InstanceId);
+    for (const name of names) {
+      const opened = this.open(name, names);
+      await this.clock.advance(10 * SYNC_MS);
+      this.nodes.push(await opened);
+    }
+    const voters = this.nodes.map(({name, replica}) => ({
+      instanceId: name,
+      replicaId: replica.log.replicaId,
+    }));
+    for (const {replica} of this.nodes) {
+      void replica.form({replicas: {voters, learners: []}});
+    }
+    await this.clock.advance(10 * SYNC_MS);
+    this.nodes.forEach(({replica}) => replica.start());
+    await this.clock.advance(5 * ELECTION_TIMEOUT_MS);
+  }
+
+  private async open(name: InstanceId, names: InstanceId[]): Promise<Node> {
+    const store = ControlStore.create();
+    const disk = MemoryDisk.create(this.clock, this.random, SYNC_MS);
+    const network = this.net.join(name);
+    const {clock} = this;
+    const replica = await Replica.create({
+      network,
+      clock,
+      random: this.random,
+      disk: disk.open(),
+      log: this.log,
+      replicaInstances: names,
+      electionTimeoutMs: ELECTION_TIMEOUT_MS,
+      compactAfterEntries: this.compactAfterEntries,
+      makeReplicaId: () => `${name}r` as ReplicaId,
+      apply: (index, command) => store.apply(index, command),
+      restore: (index, state) => store.restore(index, state),
+      problemOf: command => store.problemOf(command),
+      serialize: () => store.serialize(),
+      stateIndex: () => store.index,
+    });
+    const client = ControlClient.create({
+      network,
+      clock,
+      store,
+      replica,
+      replicaInstances: names,
+      leaderTimeoutMs: LEADER_TIMEOUT_MS,
+    });
+    return {name, disk, replica, client};
+  }
+
+  leader(): Node | undefined {
+    return this.nodes
+      .filter(node => node.replica.isLeader)
+      .sort((a, b) => b.replica.log.term - a.replica.log.term)[0];
+  }
+
+  /** Sends a change to a node; resolves to whether it was acknowledged. */
+  async change(node: Node): Promise<boolean> {
+    const revision = ++this.revision;
+    try {
+      await node.client.propose({
+        kind: 'applyConfiguration',
+        revision,
+        content: {text: 'x'.repeat(this.textBytes)},
+      });
+    } catch {
+      return false;
+    }
+    return true;
+  }
+
+  /** Sends changes to the nodes in turn. */
+  async stream(ms: number): Promise<void> {
+    const endMs = this.clock.now() + ms;
+    while (this.clock.now() < endMs) {
+      void this.change(this.nodes[this.revision % this.nodes.length]!);
+      await this.clock.advance(CHANGE_INTERVAL_MS);
+    }
+  }
+
+  fill({disk}: Node, fullness: Fullness): void {
+    switch (fullness) {
+      case 'refusesAll':
+      case 'refusesTruncation':
+        disk.failure = new Error('ENOSPC');
+        disk.refusesTruncation = fullness === 'refusesTruncation';
+        return;
+      case 'nearlyFull':
+        disk.capacityBytes =
+          disk.usedBytes + Math.floor(this.random.next() * 1_000);
+        return;
+      default:
+        fullness satisfies never;
+    }
+  }
+
+  makeRoom({disk}: Node): void {
+    disk.failure = undefined;
+    disk.refusesTruncation = false;
+    disk.capacityBytes = Infinity;
+  }
+
+  /** Makes each disk full once, one after another, under a stream of changes. */
+  async fillInTurn(
+    fullness: Fullness,
+    {leadersFirst, pauseMs}: {leadersFirst: boolean; pauseMs: number},
+  ): Promise<void> {
+    const left = new Set(this.nodes);
+    while (left.size > 0) {
+      const leader = this.leader();
+      const [first] = left;
+      const node = leadersFirst && leader && left.has(leader) ? leader : first!;
+      left.delete(node);
+      this.fill(node, fullness);
+      await this.stream(FULL_MS);
+      this.makeRoom(node);
+      await this.stream(pauseMs);
+    }
+    await this.stream(CALM_AFTER_MS);
+  }
+
+  /** Checks that each node gets a change acknowledged in time, at the first try. */
+  async expectAcknowledgedByAll(): Promise<void> {
+    for (const node of this.nodes) {
+      let isAcknowledged = false;
+      void this.change(node).then(res => {
+        isAcknowledged = res;
+      });
+      await this.clock.advance(ACKNOWLEDGE_MS);
+      expect(isAcknowledged, `change sent to ${node.name}`).toBe(true);
+    }
+  }
+}
+
+describe('ControlClient', () => {
+  for (const size of [3, 5]) {
+    for (const fullness of [
+      'refusesAll',
+      'refusesTruncation',
+      'nearlyFull',
+    ] as const) {
+      it(`acknowledges changes at each of ${size} replicas after their disks were full in turn (${fullness})`, async () => {
+        for (let seed = 1; seed < 9; seed++) {
+          const cluster = new ControlCluster(seed, SMALL_BYTES, COMPACT_SOON);
+          await cluster.form(size);
+          await cluster.stream(1_000);
+          await cluster.fillInTurn(fullness, {
+            leadersFirst: seed % 2 === 0,
+            pauseMs: seed % 4 < 2 ? 0 : 1_500,
+          });
+          await cluster.expectAcknowledgedByAll();
+        }
+      });
+    }
+  }
+
+  // What a replica had missed was sent in one frame, too large for the link, so the
+  // replica stayed out and the next loss left no majority.
+  it('acknowledges large changes while one disk is full, after another one was', async () => {
+    for (let seed = 11; seed < 13; seed++) {
+      const cluster = new ControlCluster(seed, LARGE_BYTES, COMPACT_LATE);
+      await cluster.form(3);
+      const [first, second] = cluster.nodes.filter(
+        node => node !== cluster.leader(),
+      );
+      cluster.fill(first!, 'refusesAll');
+      await cluster.stream(FULL_MS);
+      cluster.makeRoom(first!);
+      await cluster.clock.advance(CALM_AFTER_MS);
+      cluster.fill(second!, 'refusesAll');
+      await cluster.expectAcknowledgedByAll();
+    }
+  });
+});
--- a/packages/replication/src/replica/leadership.ts
+++ b/packages/replication/src/replica/leadership.ts
@@ -1,16 +1,17 @@
-import type {
-  AppendCall,
-  LogEntry,
-  ReplicaId,
-  ReplicaRef,
-} from '@papayarun/protocol';
+import type {AppendCall, ReplicaId, ReplicaRef} from '@papayarun/protocol';
 import {isQuorum} from '../quorum/is_quorum.js';
 import {quorumValue} from '../quorum/quorum_value.js';
 import type {ReplicaLog} from '../replica_log/replica_log.js';
+import {firstEntriesWithin} from './first_entries_within.js';
 import type {ReplicaOptions} from './replica_options.js';
 
 /** Largest number of entries in one append request. */
 const MAX_ENTRIES_PER_APPEND = 128;
+/**
+ * Bytes of commands after which an append request gets no further entry, so that
+ * it fits into a frame and into the election timeout.
+ */
+const MAX_BYTES_PER_APPEND = 1024 * 1024;
 /** Heartbeats that a leader sends per election timeout. */
 const HEARTBEATS_PER_TIMEOUT = 4;
 /** Election timeouts that a silent member's last acknowledgement is behind the majority's. */
@@ -207,9 +208,9 @@
     const {opts, log} = this.context;
     const needsSnapshot = nextIndex <= log.snapshot.index;
     const prevIndex = needsSnapshot ? log.snapshot.index : nextIndex - 1;
-    const entries: LogEntry[] = log.slice(
-      prevIndex + 1,
-      MAX_ENTRIES_PER_APPEND,
+    const entries = firstEntriesWithin(
+      log.slice(prevIndex + 1, MAX_ENTRIES_PER_APPEND),
+      MAX_BYTES_PER_APPEND,
     );
     try {
       return await opts.network.call(
--- a/packages/test_kit/src/memory_disk/memory_disk.ts
+++ b/packages/test_kit/src/memory_disk/memory_disk.ts
@@ -23,6 +23,11 @@
   failure: Error | undefined;
   /** Whether the failure also hits truncation, as if every write is refused. */
   refusesTruncation = false;
+  /**
+   * When set, a write that needs more space fails, and an append fills the rest
+   * first, as on a disk that is nearly full.
+   */
+  capacityBytes = Infinity;
   private files = new Map<string, Buffer>();
   /**
    * Incremented by each crash, so that writes of earlier processes have no
@@ -91,6 +96,11 @@
     return this.files.get(name);
   }
 
+  /** Bytes that all files take. */
+  get usedBytes(): number {
+    return [...this.files.values()].reduce((sum, file) => sum + file.length, 0);
+  }
+
   /**
    * Applies an edit after the sync time, unless the process crashes first. A
    * write that fails may leave a part of what it was to write.
@@ -101,12 +111,22 @@
     name: string,
     completeEdit: FileEdit,
     tornEdit: FileEdit,
-    needsSpace: boolean,
+    neededBytes: number,
     leavesPart: boolean,
   ): Promise<void> {
     if (generation !== this.processGeneration) {
       return NEVER_SETTLED;
     }
+    const needsSpace = neededBytes > 0;
+    const freeBytes = Math.max(0, this.capacityBytes - this.usedBytes);
+    if (neededBytes > freeBytes) {
+      const file = completeEdit(this.files.get(name), this.random)!;
+      if (leavesPart) {
+        const end = file.length - neededBytes + freeBytes;
+        this.setFile(name, file.subarray(0, end));
+      }
+      throw new Error('ENOSPC: no space left on device, write');
+    }
     if (this.failure && (needsSpace || this.refusesTruncation)) {
       if (leavesPart) {
         this.setFile(name, tornEdit(this.files.get(name), this.random));
@@ -156,7 +176,7 @@
       file => appendPrefix(file, copy.length),
       (file, random) =>
         appendPrefix(file, Math.floor(random.next() * (copy.length + 1))),
-      true,
+      copy.length,
       true,
     );
   }
@@ -169,7 +189,7 @@
       name,
       truncateFile,
       truncateFile,
-      false,
+      0,
       false,
     );
   }
@@ -181,7 +201,7 @@
       name,
       () => copy,
       (file, random) => (random.next() < 0.5 ? file : copy),
-      true,
+      copy.length,
       false,
     );
   }
--- a/packages/test_kit/src/memory_network/memory_network.ts
+++ b/packages/test_kit/src/memory_network/memory_network.ts
@@ -21,6 +21,8 @@
   private readonly blockedLinks = new Set<string>();
   /** Number of messages sent, including lost ones. */
   messageCount = 0;
+  /** Size of a message above which it is lost, as on a link that limits frames. */
+  maxFrameBytes = Infinity;
   /** Fraction of the messages that are lost at random, 0 to 1. */
   lossRate = 0;
 
@@ -95,10 +97,12 @@
   async deliver(
     from: MemoryNetworkEnd,
     to: InstanceId,
+    bytes: number,
   ): Promise<MemoryNetworkEnd | undefined> {
     this.messageCount++;
     await this.clock.sleep(this.random.next() * this.maxDelayMs);
-    const isLost = this.random.next() < this.lossRate;
+    const isLost =
+      this.random.next() < this.lossRate || bytes > this.maxFrameBytes;
     const isCut = this.blockedLinks.has(`${from.self} ${to}`);
     const isAlive = this.endpoints.get(from.self) === from;
     const endpoint = this.endpoints.get(to);
@@ -142,7 +146,7 @@
     const timeout = this.network
       .sleep(opts.timeoutMs, done.signal)
       .then(() => undefined);
-    const reply = this.sendCall(to, type, copyByEncoding(req));
+    const reply = this.sendCall(to, type, encodeMessage(req));
     const result = await Promise.race([reply, timeout]);
     done.abort();
     if (!result) {
@@ -159,11 +163,11 @@
     type: K,
     notice: PeerNotices[K],
   ): void {
-    const noticeCopy = copyByEncoding(notice);
+    const bytes = encodeMessage(notice);
     void this.network
-      .deliver(this, to)
+      .deliver(this, to, bytes.length)
       .then(endpoint =>
-        endpoint?.noticeHandlers.get(type)?.(this.self, noticeCopy),
+        endpoint?.noticeHandlers.get(type)?.(this.self, decodeMessage(bytes)),
       );
   }
 
@@ -191,30 +195,29 @@
   private async sendCall(
     to: InstanceId,
     type: string,
-    req: unknown,
+    req: Uint8Array,
   ): Promise<{readonly value: unknown} | {readonly error: string}> {
-    const endpoint = await this.network.deliver(this, to);
+    const endpoint = await this.network.deliver(this, to, req.length);
     const handler = endpoint?.callHandlers.get(type);
     if (!endpoint || !handler) {
       return new Promise<never>(() => undefined);
     }
     let result: {readonly value: unknown} | {readonly error: string};
+    let resultBytes = 0;
     try {
-      result = {value: copyByEncoding(await handler(this.self, req))};
+      const value = encodeMessage(await handler(this.self, decodeMessage(req)));
+      result = {value: decodeMessage(value)};
+      resultBytes = value.length;
     } catch (err) {
       result = {error: (err as Error).message};
     }
-    const replyEndpoint = await this.network.deliver(endpoint, this.self);
+    const replyEndpoint = await this.network.deliver(
+      endpoint,
+      this.self,
+      resultBytes,
+    );
     return replyEndpoint === this
       ? result
       : new Promise<never>(() => undefined);
   }
 }
-
-/**
- * Copies a value through the wire encoding, so that sender and receiver share
- * no objects and a value that cannot be encoded fails.
- */
-function copyByEncoding<T>(value: T): T {
-  return decodeMessage(encodeMessage(value)) as T;
-}
