--- a/packages/daemon/src/control_client/control_client.test.ts
+++ b/packages/daemon/src/control_client/control_client.test.ts
@@ -133,6 +133,16 @@
     return true;
   }
 
+  /** Makes the state large; the changes that follow have a lower revision. */
+  async applyLargeConfiguration(): Promise<void> {
+    void this.nodes[0]!.client.propose({
+      kind: 'applyConfiguration',
+      revision: Number.MAX_SAFE_INTEGER,
+      content: {text: 'x'.repeat(LARGE_BYTES)},
+    });
+    await this.clock.advance(ACKNOWLEDGE_MS);
+  }
+
   /** Sends changes to the nodes in turn. */
   async stream(ms: number): Promise<void> {
     const endMs = this.clock.now() + ms;
@@ -235,4 +245,24 @@
       await cluster.expectAcknowledgedByAll();
     }
   });
+
+  // A compaction that the disk had no room for ended the leadership, after each change.
+  it('keeps its leader while the disks have room for changes but not for a compaction', async () => {
+    for (let seed = 21; seed < 25; seed++) {
+      const cluster = new ControlCluster(seed, SMALL_BYTES, COMPACT_SOON);
+      await cluster.form(3);
+      await cluster.applyLargeConfiguration();
+      const leader = cluster.leader()!;
+      for (const {disk} of cluster.nodes) {
+        disk.capacityBytes = disk.usedBytes + LARGE_BYTES / 2;
+      }
+      await cluster.stream(2 * COMPACT_SOON * CHANGE_INTERVAL_MS);
+      expect(cluster.leader()).toBe(leader);
+      expect(cluster.log.count('compactionFailed')).toBeGreaterThan(0);
+      cluster.nodes.forEach(node => cluster.makeRoom(node));
+      await cluster.stream(CALM_AFTER_MS);
+      expect(cluster.log.count('logCompacted')).toBe(3);
+      await cluster.expectAcknowledgedByAll();
+    }
+  });
 });
--- a/packages/protocol/src/event_log/event_catalogue.ts
+++ b/packages/protocol/src/event_log/event_catalogue.ts
@@ -91,6 +91,11 @@
     level: 'info',
     text: 'journal was compacted to a snapshot and the entries after it',
   },
+  compactionFailed: {
+    number: 3019,
+    level: 'error',
+    text: 'journal could not be compacted, as on a nearly full disk; the replica continues and tries again',
+  },
   logTailCut: {
     number: 3006,
     level: 'warn',
--- a/packages/replication/src/replica/replica.ts
+++ b/packages/replication/src/replica/replica.ts
@@ -28,6 +28,8 @@
  * enough for many round trips and synced writes.
  */
 const EARLY_TIMEOUT_FRACTION = 0.2;
+/** Election timeouts after a compaction that failed until the next one. */
+const COMPACT_RETRY_TIMEOUTS = 2;
 const EMPTY_COMMAND = new Uint8Array();
 
 type Role = ReplicaStatusCall['res']['role'];
@@ -62,6 +64,8 @@
   private leadership: Leadership | undefined;
   private lastContactMs: number;
   private lastApplied = 0;
+  /** Time before which a compaction that failed isn't tried again. */
+  private compactNotBeforeMs = 0;
 
   private constructor(
     readonly opts: ReplicaOptions,
@@ -561,13 +565,29 @@
 
   private async compactIfLong(): Promise<void> {
     const {log, opts} = this;
-    if (log.length < opts.compactAfterEntries) {
+    const nowMs = opts.clock.now();
+    if (
+      log.length < opts.compactAfterEntries ||
+      nowMs < this.compactNotBeforeMs
+    ) {
       return;
     }
     const index = this.lastApplied;
     const replicas = log.replicasAt(index);
     const term = log.termAt(index)!;
-    await log.compact({index, term, replicas, state: opts.serialize()});
+    const state = opts.serialize();
+    try {
+      await log.compact({index, term, replicas, state});
+    } catch (err) {
+      if (!(err instanceof JournalAppendError)) {
+        throw err;
+      }
+      // The change that led here is durable without a compaction.
+      this.compactNotBeforeMs =
+        nowMs + COMPACT_RETRY_TIMEOUTS * opts.electionTimeoutMs;
+      opts.log.emit('compactionFailed', {err: err.message});
+      return;
+    }
     opts.log.emit('logCompacted', {index});
   }
 
