Remove the part of a replacement for which the disk had no room

Cause: FolderDisk.replace left the temporary file when it failed. What was written of it kept the last room until a later compaction succeeded. Change: the temporary file is removed when it can't be written and synced. Test: folder_disk.test.ts, with a real ENOSPC by /dev/full. Measured: "leaves no part of a replacement" failed before, passes after.

--- a/packages/replication/src/disk/folder_disk.ts
+++ b/packages/replication/src/disk/folder_disk.ts
@@ -1,5 +1,5 @@
 import type {FileHandle} from 'node:fs/promises';
-import {mkdir, open, readFile, rename} from 'node:fs/promises';
+import {mkdir, open, readFile, rename, rm} from 'node:fs/promises';
 import {join} from 'node:path';
 import type {Disk} from './disk.js';
 
@@ -50,12 +50,12 @@
 
   async replace(name: string, bytes: Uint8Array): Promise<void> {
     const temporary = join(this.directory, `${name}.new`);
-    const handle = await open(temporary, 'w');
     try {
-      await handle.writeFile(bytes);
-      await handle.sync();
-    } finally {
-      await handle.close();
+      await writeSynced(temporary, bytes);
+    } catch (err) {
+      // Its part would keep room that appends need.
+      await rm(temporary, {force: true});
+      throw err;
     }
     await this.handles.get(name)?.close();
     this.handles.delete(name);
@@ -88,3 +88,13 @@
     }
   }
 }
+
+async function writeSynced(path: string, bytes: Uint8Array): Promise<void> {
+  const handle = await open(path, 'w');
+  try {
+    await handle.writeFile(bytes);
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
+}
