Limit the commands kept for peers by their bytes

Callers saw: after many large changes of the configuration, an entry instance that lacked them would have stayed on the old one: the answer to its pull was too large for a frame, at each try. The commands kept took memory without limit in bytes. Cause: ControlStore kept 1,024 to 2,048 commands, however large; a peer that had missed 129 of 256 KiB got 33.8 MB in one answer, over the platform's 32 MiB. Change: commands over 4 MiB in all are dropped, the oldest first; a peer that lacks them gets the state. The newest one is always kept. Test: "sends a peer that lacks many large commands an answer that fits into a frame". Measured: failed before (33,827,058 bytes), passes after.

--- a/packages/releases/src/control_store/control_store.test.ts
+++ b/packages/releases/src/control_store/control_store.test.ts
@@ -9,6 +9,11 @@
   content: {routes: []},
 };
 
+const LARGE_BYTES = 256 * 1024;
+const MAX_FRAME_BYTES = 32 * 1024 * 1024;
+/** As many as exceed a frame. */
+const LARGE_COMMANDS = MAX_FRAME_BYTES / LARGE_BYTES + 1;
+
 describe('ControlStore', () => {
   it('has no problem with a command, and names that of bytes that are none', () => {
     const store = ControlStore.create();
@@ -51,4 +56,25 @@
       {seed: 7, numRuns: 500},
     );
   });
+
+  // All commands that a peer lacked were sent in one answer, too large for a frame.
+  it('sends a peer that lacks many large commands an answer that fits into a frame, and the whole state', () => {
+    const store = ControlStore.create();
+    for (let index = 1; index <= LARGE_COMMANDS; index++) {
+      const content = {text: 'x'.repeat(LARGE_BYTES)};
+      const command = {...CONFIGURATION, revision: index, content};
+      store.apply(index, encodeMessage(command));
+      expect(store.after(index - 1).kind).toBe('commands');
+    }
+    const res = store.after(0);
+    expect(encodeMessage(res).byteLength).toBeLessThan(MAX_FRAME_BYTES);
+    const peer = ControlStore.create();
+    if (res.kind === 'snapshot') {
+      peer.restore(res.index, res.state);
+    } else {
+      res.commands.forEach(c => peer.apply(c.index, c.command));
+    }
+    expect(peer.index).toBe(LARGE_COMMANDS);
+    expect(peer.state).toEqual(store.state);
+  });
 });
--- a/packages/releases/src/control_store/control_store.ts
+++ b/packages/releases/src/control_store/control_store.ts
@@ -8,9 +8,14 @@
 
 /**
  * Number of latest commands kept for peers that are slightly behind. Older ones
- * are dropped when there are more than twice as many.
+ * are dropped when there are more than twice as many, or too many bytes.
  */
 const TAIL_LENGTH = 1_024;
+/**
+ * Bytes of commands kept for peers. A peer that lacks more gets a snapshot, so
+ * that its answer fits into a frame.
+ */
+const MAX_TAIL_BYTES = 4 * 1024 * 1024;
 
 interface IndexedCommand {
   readonly index: number;
@@ -24,6 +29,7 @@
   private current = EMPTY_CONTROL_STATE;
   private appliedIndex = 0;
   private tail: IndexedCommand[] = [];
+  private tailBytes = 0;
   /** The tail has every command after this index. */
   private tailStartsAfter = 0;
   private readonly listeners: Array<
@@ -76,9 +82,12 @@
       bytes.length > 0 &&
       applyCommand(this.current, decodeMessage(bytes) as ControlCommand);
     this.tail.push({index, command: bytes});
+    this.tailBytes += bytes.byteLength;
     if (this.tail.length > 2 * TAIL_LENGTH) {
-      const dropped = this.tail.splice(0, this.tail.length - TAIL_LENGTH);
-      this.tailStartsAfter = dropped.at(-1)!.index;
+      this.dropFromTail(this.tail.length - TAIL_LENGTH);
+    }
+    while (this.tailBytes > MAX_TAIL_BYTES && this.tail.length > 1) {
+      this.dropFromTail(1);
     }
     this.advance(index, applied ? applied.state : this.current);
     return applied
@@ -108,6 +117,7 @@
       return;
     }
     this.tail = [];
+    this.tailBytes = 0;
     this.tailStartsAfter = index;
     // A snapshot written by an earlier version lacks fields that were added later.
     this.advance(index, {
@@ -139,6 +149,14 @@
     };
   }
 
+  private dropFromTail(count: number): void {
+    const dropped = this.tail.splice(0, count);
+    for (const {command} of dropped) {
+      this.tailBytes -= command.byteLength;
+    }
+    this.tailStartsAfter = dropped.at(-1)!.index;
+  }
+
   private advance(index: number, state: ControlState): void {
     const before = this.current;
     this.appliedIndex = index;
