--- a/packages/scheduling/src/_test/search_plans.ts
+++ b/packages/scheduling/src/_test/search_plans.ts
@@ -56,14 +56,68 @@
   }),
 );
 
-/** Plans of a search, all of whose faults end. */
-export const searchPlans: fc.Arbitrary<SearchPlan> = record({
+const widePlans: fc.Arbitrary<SearchPlan> = record({
   seed: fc.nat(9_999),
   targets: fc.array(fc.integer({min: 1, max: 3}), {minLength: 2, maxLength: 3}),
   callers: fc.array(callerPlans, {minLength: 1, maxLength: 6}),
   faults: fc.array(faultPlans, {maxLength: 8}),
 });
 
+const soonMs = fc.nat(1_500);
+const soonFaultPlans: fc.Arbitrary<SimulatedFault> = fc.oneof(
+  record({
+    kind: fc.constantFrom('lostAnswers' as const, 'lateOrders' as const),
+    atMs: soonMs,
+    forMs,
+    share: fc.constant(1),
+  }),
+  record({
+    kind: fc.constant('cut' as const),
+    atMs: soonMs,
+    forMs,
+    centre: fc.constant(0),
+    target: fc.constant(undefined),
+  }),
+  record({
+    kind: fc.constant('handOver' as const),
+    atMs: soonMs,
+    centre: fc.constant(0),
+    gapMs: fc.nat(300),
+  }),
+  record({
+    kind: fc.constant('kill' as const),
+    atMs: soonMs,
+    centre: fc.constant(0),
+    gapMs: fc.integer({min: 50, max: 1_100}),
+  }),
+);
+
+/** Plans in which long tasks share the only target while it is not heard. */
+const narrowPlans: fc.Arbitrary<SearchPlan> = record({
+  seed: fc.nat(9_999),
+  targets: fc.constant([1, 2]),
+  callers: fc.array(
+    record({
+      atMs: fc.nat(300),
+      tasks: fc.constant(1),
+      runMs: fc.constantFrom(4_000, 2_500),
+      estimateMs: fc.constant(60),
+      leftMs: fc.constantFrom(6_000, 1_500),
+      entries: fc.constantFrom([0, 1], [0, 0]),
+      leaveAfterMs: fc.option(soonMs, {nil: undefined, freq: 2}),
+      againAfterDoneMs: fc.constant(undefined),
+    }),
+    {minLength: 1, maxLength: 4},
+  ),
+  faults: fc.array(soonFaultPlans, {minLength: 1, maxLength: 4}),
+});
+
+/** Plans of a search, all of whose faults end. */
+export const searchPlans: fc.Arbitrary<SearchPlan> = fc.oneof(
+  widePlans,
+  narrowPlans,
+);
+
 /** Record that is printed without its prototype. */
 function record<T>(model: {
   [K in keyof T]: fc.Arbitrary<T[K]>;
--- a/packages/scheduling/src/_test/simulated_entry.ts
+++ b/packages/scheduling/src/_test/simulated_entry.ts
@@ -10,7 +10,12 @@
 /** Time of a message to another data centre, in milliseconds. */
 const HOP_MS = 1;
 const LOST: JobOutcome = {kind: 'failed', reason: 'schedulerLost'};
-const CANCELLED: JobOutcome = {kind: 'failed', reason: 'cancelled'};
+const CANCELLED: JobOutcome = {
+  kind: 'refused',
+  reason: 'cancelled',
+  retryAfterMs: 1_000,
+  quote: EMPTY_QUOTE,
+};
 
 /**
  * Entry that shares jobs out over the schedulers as the job submitter of an
@@ -88,36 +93,34 @@
     const partsAbort = new AbortController();
     const cancel = (): void => partsAbort.abort();
     signal.addEventListener('abort', cancel, {once: true});
-    const outcomes = await Promise.all(
-      parts.flatMap((part, n) =>
-        part ? [this.submitPart(this.centres[n]!, part, partsAbort)] : [],
-      ),
+    let completed = 0;
+    /** In the order of their ends: the first is the cause of the others. */
+    const unsuccessful: JobOutcome[] = [];
+    await Promise.all(
+      parts.map(async (part, n) => {
+        if (!part) {
+          return;
+        }
+        const outcome = await this.submitWithHandover(
+          this.centres[n]!,
+          part,
+          partsAbort.signal,
+        );
+        if (outcome.kind === 'completed') {
+          completed++;
+        } else {
+          unsuccessful.push(outcome);
+          partsAbort.abort();
+        }
+      }),
     );
     signal.removeEventListener('abort', cancel);
-    const unsuccessful = outcomes.filter(({kind}) => kind !== 'completed');
-    const failed = unsuccessful.find(({kind}) => kind === 'failed');
-    if (unsuccessful.length === 0) {
+    const [cause] = unsuccessful;
+    if (!cause) {
       return {kind: 'completed', samples: []};
     }
-    return unsuccessful.length === outcomes.length && !failed
-      ? unsuccessful[0]!
-      : (failed ?? LOST);
-  }
-
-  private async submitPart(
-    centre: SimulatedDataCentre,
-    part: ScheduledJob,
-    partsAbort: AbortController,
-  ): Promise<JobOutcome> {
-    const outcome = await this.submitWithHandover(
-      centre,
-      part,
-      partsAbort.signal,
-    );
-    if (outcome.kind !== 'completed') {
-      partsAbort.abort();
-    }
-    return outcome;
+    const failed = unsuccessful.find(({kind}) => kind === 'failed');
+    return completed === 0 && !failed ? cause : (failed ?? LOST);
   }
 
   private async submitWithHandover(
