Ask a silent target without runs until it answers

What callers saw: jobs refused although a target answered again. Cause: a target whose runs had lapsed while it was silent was not asked again, so it stayed silent for good; its reports kept it from being removed. Result: left_behind_runs.test.ts -t "used again": failed before, passes.

--- a/packages/scheduling/src/_lib/target_session.ts
+++ b/packages/scheduling/src/_lib/target_session.ts
@@ -403,11 +403,16 @@
   }
 
   /**
-   * Whether the target has not answered yet, has a lease to renew, or has an
-   * unclaimed run.
+   * Whether the target has not answered yet or is silent, has a lease to renew,
+   * or has an unclaimed run.
    */
   private needsHold(): boolean {
-    return !this.isConfirmed || this.runs.size > 0 || this.orphans.size > 0;
+    return (
+      !this.isConfirmed ||
+      this.silentSinceMs !== undefined ||
+      this.runs.size > 0 ||
+      this.orphans.size > 0
+    );
   }
 
   /** Time at which the first of the runs was given up; undefined if none was. */
