Answer a job that was given up when its runs have ended

Cause: the answer didn't wait for the stops. Change: the outcome is returned when each abandoned run is known to have ended, one stop after it was given up as a rule, and at the caller's deadline at the latest. Runs on a target at whose address nothing listens aren't waited for. Result: sent_again.test.ts -t "is answered when": failed before, passes.

--- a/packages/scheduling/src/_lib/create_job_record.ts
+++ b/packages/scheduling/src/_lib/create_job_record.ts
@@ -54,6 +54,8 @@
     hasStarted: job.placed !== undefined,
     isConcluded: false,
     forecast: undefined,
+    abandonedRuns: new Set(),
+    resolveAbandoned: undefined,
     resolveOutcome,
     outcome,
   };
--- a/packages/scheduling/src/_lib/job_record.ts
+++ b/packages/scheduling/src/_lib/job_record.ts
@@ -4,6 +4,7 @@
   ScheduledJob,
 } from '@papayarun/protocol';
 import type {Forecast} from '../scheduler/forecast.js';
+import type {RunRecord} from './run_record.js';
 import type {TaskRecord} from './task_record.js';
 
 /**
@@ -33,6 +34,10 @@
   isConcluded: boolean;
   /** Undefined until its admission is decided here. */
   forecast: Forecast | undefined;
+  /** Runs that were given up with the job and aren't known to have ended. */
+  readonly abandonedRuns: Set<RunRecord>;
+  /** Returns the outcome, once no abandoned run is left; undefined before. */
+  resolveAbandoned: (() => void) | undefined;
   readonly resolveOutcome: (outcome: JobOutcome) => void;
   readonly outcome: Promise<JobOutcome>;
 }
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -758,6 +758,7 @@
   }
 
   private removeOpenRun(run: RunRecord): void {
+    this.removeAbandonedRun(run);
     if (this.openRuns.get(run.task.taskId) === run) {
       this.openRuns.delete(run.task.taskId);
     }
@@ -941,11 +942,17 @@
 
   /** Ends a job that can't be completed, and stops its runs. */
   private failJob(record: JobRecord, reason: JobFailure): void {
+    if (record.isConcluded) {
+      return;
+    }
     const nowMs = this.opts.clock.now();
-    for (const task of record.tasks) {
-      if (task.run) {
-        task.run.abandonedMs = nowMs;
-        void task.run.session.stop(task.run);
+    for (const {run} of record.tasks) {
+      if (run) {
+        run.abandonedMs = nowMs;
+        // Nothing listens any more where the target of a run has crashed.
+        if (!run.isCrashRecorded) {
+          record.abandonedRuns.add(run);
+        }
       }
     }
     const isRefusal = !mayHaveRun(record);
@@ -955,6 +962,9 @@
         ? refusal(reason === 'cancelled' ? 'cancelled' : 'tooLate')
         : {kind: 'failed', reason},
     );
+    for (const {run} of record.tasks) {
+      void run?.session.stop(run);
+    }
   }
 
   private concludeJob(record: JobRecord, outcome: JobOutcome): void {
@@ -965,9 +975,36 @@
     this.jobs.delete(record.key);
     this.waiting = this.waiting.filter(other => other !== record);
     this.reportOutcome(record, outcome);
+    if (record.abandonedRuns.size === 0) {
+      record.resolveOutcome(outcome);
+    } else {
+      void this.resolveOnceEnded(record, outcome);
+    }
+  }
+
+  /**
+   * Returns the outcome of a job when its abandoned runs have ended, since its
+   * caller may send it again at once, also to another scheduler; at the latest
+   * when the caller stops waiting.
+   */
+  private async resolveOnceEnded(
+    record: JobRecord,
+    outcome: JobOutcome,
+  ): Promise<void> {
+    const {clock} = this.opts;
+    const leftMs = Math.max(0, record.callerDeadlineAtMs - clock.now());
+    record.resolveAbandoned = () => record.resolveOutcome(outcome);
+    await clock.sleep(leftMs, this.endController.signal);
     record.resolveOutcome(outcome);
   }
 
+  private removeAbandonedRun(run: RunRecord): void {
+    const {abandonedRuns, resolveAbandoned} = run.task.job;
+    if (abandonedRuns.delete(run) && abandonedRuns.size === 0) {
+      resolveAbandoned?.();
+    }
+  }
+
   private reportOutcome(record: JobRecord, outcome: JobOutcome): void {
     const {job, forecast} = record;
     const tookMs = this.opts.clock.now() - record.receivedMs;
--- a/packages/scheduling/src/scheduler/sent_again.test.ts
+++ b/packages/scheduling/src/scheduler/sent_again.test.ts
@@ -212,3 +212,34 @@
     expect(sim.startsOf(job.id)).toBe(1);
   });
 });
+
+describe('A job that is given up', () => {
+  // Its caller sent it again at once, to another data centre, beside runs whose
+  // stops were on their way.
+  it('is answered when its runs have ended', async () => {
+    const sim = new TargetSimulation(1, 2_500);
+    const scheduler = await startScheduler(sim, 6);
+    const job = jobOf(1);
+    const outcome = scheduler.submit(job);
+    await sim.clock.advance(60);
+    sim.faults.lateOrders = 1;
+    scheduler.cancel(job.id);
+    await sim.clock.advance(50);
+    sim.faults.lateOrders = 0;
+    const ended = await waitForOutcome(sim.clock, outcome, 3_000);
+    expect(ended).toEqual({kind: 'failed', reason: 'cancelled'});
+    const running = [...sim.targets.values()].flatMap(t => [...t.runs]);
+    expect(running).toEqual([]);
+  });
+
+  it('is answered at its deadline if its targets stay silent', async () => {
+    const sim = new TargetSimulation(1, 4_000);
+    const scheduler = await startScheduler(sim, 6);
+    const outcome = scheduler.submit(jobOf(1, {leftMs: 1_500}));
+    const sentMs = sim.clock.now();
+    await sim.clock.advance(900);
+    cutBusyTargets(sim);
+    await waitForOutcome(sim.clock, outcome, 3_000);
+    expect(sim.clock.now() - sentMs).toBeLessThanOrEqual(1_520);
+  });
+});
