Hold the 504 of a lost scheduler until its runs have no lease any more

What callers saw: a task that ran twice at once in two data centres after a scheduler was killed or its link was lost. Cause: the entry answered 504 as soon as the link was lost, while the runs went on under their lease for up to 1,070 ms; callers came back after 100 ms. Change: the 504 is sent when that lease can't last any more, or at the deadline. Other parts are cancelled at once. A job that a test gave up in real time now gives it up on the virtual clock.

--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -9,6 +9,7 @@
 import {dataCentreOfShard, shardIdOf} from '@papayarun/protocol';
 import type {ControlState} from '@papayarun/releases';
 import {ControlStore} from '@papayarun/releases';
+import {longestLeaseMs} from '@papayarun/scheduling';
 import {ClusterNode} from '../cluster_node/cluster_node.js';
 import {QueueTable} from '../work_queue/queue_table.js';
 import type {WorkQueue} from '../work_queue/work_queue.js';
@@ -216,6 +217,7 @@
       network: this.node.network,
       clock,
       log,
+      longestLeaseMs: longestLeaseMs(this.opts.timing),
       schedule: (shard, job) => this.schedulers.submit(self, shard, job),
       quote: (shard, job) => this.schedulers.quote(shard, job),
       cancel: jobId => this.schedulers.cancel(self, jobId),
--- a/packages/daemon/src/entry_instance/job_submitter.test.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.test.ts
@@ -15,7 +15,7 @@
   PeerCallError,
 } from '@papayarun/protocol';
 import {SilentLog, VirtualClock} from '@papayarun/test_kit';
-import {describe, expect, it} from 'vitest';
+import {describe, expect, it, vi} from 'vitest';
 import {JobSubmitter} from './job_submitter.js';
 import type {SchedulerFinder} from './scheduler_finder.js';
 import type {ShardScheduler} from './shard_scheduler.js';
@@ -33,6 +33,8 @@
   quote: EMPTY_QUOTE,
 };
 const NEVER = new AbortController().signal;
+/** Longest time for which runs of a lost scheduler go on. */
+const LEASE_MS = 1_070;
 
 function schedulerOf(name: string, instanceId: InstanceId): ShardScheduler {
   const shard = name as ShardId;
@@ -124,6 +126,7 @@
     network: this.network(),
     clock: this.clock,
     log: SilentLog.create(),
+    longestLeaseMs: LEASE_MS,
     quote: () => quoteOf(),
     schedule: (_shard, job) => {
       this.localJobs.push(job);
@@ -273,9 +276,23 @@
     fixture.quoteRemotely = () => Promise.resolve(quoteOf(60, 140));
     fixture.scheduleRemotely = () =>
       Promise.reject(PeerCallError.create(true, 'link lost'));
-    const outcome = await fixture.submit(jobOf(2));
-    expect(outcome.kind).toBe('failed');
-    expect(fixture.cancelled).toEqual([jobOf(2).id]);
+    const answer = fixture.submitAndRecord(jobOf(2));
+    await vi.waitFor(() => expect(fixture.cancelled).toEqual([jobOf(2).id]));
+    await fixture.clock.advance(LEASE_MS);
+    expect(answer.outcome).toMatchObject({kind: 'failed'});
+  });
+
+  // The caller sent the job again to another data centre at once.
+  it('answers the job of a lost scheduler when its runs have lost their lease', async () => {
+    const fixture = new Fixture();
+    fixture.localInstance = REMOTE;
+    fixture.scheduleRemotely = () =>
+      Promise.reject(PeerCallError.create(true, 'link lost'));
+    const answer = fixture.submitAndRecord(jobOf(2));
+    await fixture.clock.advance(LEASE_MS - 10);
+    expect(answer.outcome).toBeUndefined();
+    await fixture.clock.advance(10);
+    expect(answer.outcome).toMatchObject({reason: 'schedulerLost'});
   });
 
   // The scheduler of the other part ran its tasks on while the caller sent the
--- a/packages/daemon/src/entry_instance/job_submitter.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.ts
@@ -1,6 +1,7 @@
 import {RetryBudget} from '@papayarun/dispatch';
 import type {
   InstanceId,
+  JobId,
   JobOutcome,
   JobQuote,
   JobRefusal,
@@ -73,6 +74,8 @@
   private readonly quoteBudget = RetryBudget.create(QUOTES_PER_JOB);
   /** Monotonic time until which a scheduler isn't asked for another quote. */
   private readonly quoteBackoffUntilMs = new Map<InstanceId, number>();
+  /** Monotonic time by which the runs of lost schedulers end, by job. */
+  private readonly lostRunsEndMs = new Map<JobId, number>();
   /** A scheduler knows the instance that waits for a job, not its callers. */
   private readonly submissions = WaitingSubmissions.create();
 
@@ -99,6 +102,22 @@
    * @returns The outcome; only a refusal guarantees that no task has run.
    */
   async submit(job: ScheduledJob, signal: AbortSignal): Promise<JobOutcome> {
+    const outcome = await this.submitToSchedulers(job, signal);
+    // Its caller may send the job again at once, to a scheduler that knows
+    // nothing of the runs that the lost one has left.
+    const {clock} = this.opts;
+    const leftMs = (this.lostRunsEndMs.get(job.id) ?? 0) - clock.now();
+    this.lostRunsEndMs.delete(job.id);
+    if (leftMs > 0 && outcome.kind === 'failed') {
+      await clock.sleep(leftMs, signal);
+    }
+    return outcome;
+  }
+
+  private async submitToSchedulers(
+    job: ScheduledJob,
+    signal: AbortSignal,
+  ): Promise<JobOutcome> {
     const startedMs = this.opts.clock.now();
     this.quoteBudget.deposit();
     const {scheduler, outcome} = await this.submitToFirst(
@@ -212,8 +231,9 @@
     {shard, grant: {instanceId}}: ShardScheduler,
     job: ScheduledJob,
   ): Promise<JobOutcome> {
-    const {network} = this.opts;
+    const {clock, network, longestLeaseMs} = this.opts;
     const timeoutMs = Math.max(1, job.leftMs) + RESPONSE_GRACE_MS;
+    const latestMs = clock.now() + timeoutMs;
     try {
       const req = {job, shard};
       const res = await network.call(instanceId, 'scheduleJob', req, {
@@ -236,6 +256,10 @@
       }
       // A call that was held up may arrive only now, and start the job.
       this.withdraw(instanceId, job);
+      this.lostRunsEndMs.set(
+        job.id,
+        Math.min(latestMs, clock.now() + longestLeaseMs),
+      );
       return SCHEDULER_LOST_FAILURE;
     }
   }
--- a/packages/daemon/src/entry_instance/job_submitter_options.ts
+++ b/packages/daemon/src/entry_instance/job_submitter_options.ts
@@ -22,6 +22,8 @@
   readonly network: Pick<PeerNetwork, 'call' | 'notify'>;
   readonly clock: Clock;
   readonly log: EventLog;
+  /** Longest time for which runs of a lost scheduler go on, in milliseconds. */
+  readonly longestLeaseMs: number;
   /** Runs a job on a shard that this instance schedules. */
   readonly schedule: (shard: ShardId, job: ScheduledJob) => Promise<JobOutcome>;
   /** Quotes a job on a shard that this instance schedules. */
--- a/packages/scheduling/src/target_clock/target_clock.ts
+++ b/packages/scheduling/src/target_clock/target_clock.ts
@@ -1,9 +1,4 @@
-/**
- * Largest share by which the protocol of the targets allows their clocks to run
- * slow.
- */
-const MAX_CLOCK_DRIFT = 0.02;
-
+import {MAX_CLOCK_DRIFT} from '../_lib/max_clock_drift.js';
 /**
  * Estimate of a target's clock, from the times in its answers.
  */
