--- a/packages/scheduling/src/scheduler/sent_again_review.test.ts
+++ b/packages/scheduling/src/scheduler/overlapping_runs.test.ts
@@ -5,11 +5,11 @@
 import {jobOf} from '../_test/job_of.js';
 import {reportOf} from '../_test/report_of.js';
 import {CORES, MAX_LEASE_MS} from '../_test/simulation_values.js';
+import {startOtherScheduler} from '../_test/start_other_scheduler.js';
 import {startScheduler} from '../_test/start_scheduler.js';
 import {submitViaEntry} from '../_test/submit_via_entry.js';
 import {TargetSimulation} from '../_test/target_simulation.js';
 import {waitForOutcome} from '../_test/wait_for_outcome.js';
-import type {Scheduler} from './scheduler.js';
 
 /** Time after which a caller sends an unanswered job again, in milliseconds. */
 const RESEND_MS = 1_300;
@@ -29,17 +29,6 @@
   });
 }
 
-/** Begins the scheduler of another data centre, with targets of its own. */
-async function startOtherScheduler(sim: TargetSimulation): Promise<Scheduler> {
-  const scheduler = sim.scheduler();
-  scheduler.begin(1);
-  for (let i = 0; i < 6; i++) {
-    scheduler.acceptReport(sim.addTarget());
-  }
-  await sim.clock.advance(20);
-  return scheduler;
-}
-
 /** Tasks of a job that a target runs now. */
 function running(sim: TargetSimulation, target: string, jobId: string): number {
   const runs = sim.targets.get(target as TargetId)!.runs;
--- a/packages/scheduling/src/scheduler/sent_again.test.ts
+++ b/packages/scheduling/src/scheduler/sent_again.test.ts
@@ -2,6 +2,7 @@
 import {describe, expect, it} from 'vitest';
 import {jobOf} from '../_test/job_of.js';
 import {reportOf} from '../_test/report_of.js';
+import {startOtherScheduler} from '../_test/start_other_scheduler.js';
 import {startScheduler} from '../_test/start_scheduler.js';
 import {submitViaEntry} from '../_test/submit_via_entry.js';
 import {TargetSimulation} from '../_test/target_simulation.js';
@@ -25,17 +26,6 @@
   };
 }
 
-/** Begins the scheduler of another data centre, with targets of its own. */
-async function startOtherScheduler(sim: TargetSimulation): Promise<Scheduler> {
-  const scheduler = sim.scheduler();
-  scheduler.begin(1);
-  for (let i = 0; i < 6; i++) {
-    scheduler.acceptReport(sim.addTarget());
-  }
-  await sim.clock.advance(20);
-  return scheduler;
-}
-
 /** Begins a scheduler that takes over all targets, with a higher token. */
 async function startSuccessor(
   sim: TargetSimulation,
