--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -15,7 +15,7 @@
   };
 }
 
-export function nextJobId() {
+function nextJobId() {
   return (++count).toString(16).padStart(16, '0');
 }
 
@@ -50,14 +50,7 @@
 }
 
 /** Hands a job in at one node. */
-export async function submitOnce(
-  record,
-  node,
-  id,
-  job,
-  deadlineMs,
-  timeoutMs = deadlineMs,
-) {
+async function submitOnce(record, node, id, job, deadlineMs, timeoutMs) {
   record.add({type: 'sent', job: id, node});
   const headers = {host: HOST, 'x-deadline-ms': String(deadlineMs)};
   const res = await send('POST', node, `${PREFIX}${id}`, {
@@ -74,17 +67,3 @@
   });
   return res;
 }
-
-/** Cancels a job. */
-export async function cancel(record, node, id) {
-  const res = await send('DELETE', node, `${PREFIX}${id}`, {
-    headers: {host: HOST},
-  });
-  record.add({
-    type: 'cancelled',
-    job: id,
-    node,
-    status: res.status,
-    body: res.json,
-  });
-}
