--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -16,8 +16,10 @@
 import type {EntryInstanceOptions} from './entry_instance_options.js';
 import {checkTaskLoss} from './check_task_loss.js';
 import {JobSubmitter} from './job_submitter.js';
+import {KeepAliveSender} from './keep_alive_sender.js';
 import {LinkPolicy} from './link_policy.js';
 import {LocalSchedulers} from './local_schedulers.js';
+import {RequesterMonitor} from './requester_monitor.js';
 import {SchedulerFinder} from './scheduler_finder.js';
 import {StaleTargetRemover} from './stale_target_remover.js';
 
@@ -36,6 +38,8 @@
   private finder!: SchedulerFinder;
   private submitter!: JobSubmitter;
   private staleTargets!: StaleTargetRemover;
+  private keepAlives!: KeepAliveSender;
+  private requesters!: RequesterMonitor;
   private readonly linkPolicy: LinkPolicy;
   private queues: QueueTable | undefined;
   private configurationRevision: number | undefined;
@@ -133,6 +137,8 @@
 
   async stop(): Promise<void> {
     this.staleTargets.stop();
+    this.keepAlives.stop();
+    this.requesters.stop();
     this.schedulers.end();
     await this.node.stop();
   }
@@ -165,6 +171,13 @@
       schedulers: this.schedulers,
       control: () => this.node.control,
     });
+    this.keepAlives = KeepAliveSender.create({
+      clock: opts.clock,
+      intervalMs: opts.cfg.heartbeatMs,
+      network,
+      schedulers: () => this.submitter.awaitedSchedulers(),
+    });
+    this.requesters = this.createRequesterMonitor();
     this.serveCalls();
     store.onChange((before, after) => {
       if (before.schedulers !== after.schedulers) {
@@ -174,15 +187,21 @@
     });
     this.node.start();
     this.staleTargets.start();
+    this.keepAlives.start();
+    this.requesters.start();
   }
 
   /** Serves the calls of other instances to the schedulers of this one. */
   private serveCalls(): void {
     const {network} = this.node;
     const firstShard = shardIdOf(this.opts.cfg.dataCentre, 0);
-    network.onCall('scheduleJob', async (from, {job, shard = firstShard}) => ({
-      outcome: await this.schedulers.submit(from, shard, job),
-    }));
+    network.onCall('scheduleJob', async (from, req) => {
+      const {job, shard = firstShard, keepAliveMs} = req;
+      const isKeptAlive = keepAliveMs !== undefined;
+      return {
+        outcome: await this.schedulers.submit(from, shard, job, isKeptAlive),
+      };
+    });
     network.onCall('quoteJob', (_from, {job, shard = firstShard}) =>
       Promise.resolve({quote: this.schedulers.quote(shard, job)}),
     );
@@ -209,6 +228,23 @@
     }
   }
 
+  private createRequesterMonitor(): RequesterMonitor {
+    const {cfg, clock, log} = this.opts;
+    return RequesterMonitor.create({
+      clock,
+      maxSilenceMs: cfg.peerTimeoutMs,
+      requesters: () => this.schedulers.keptAliveRequesters(),
+      lastHeardMs: requester => this.node.network.lastHeardMs(requester),
+      onSilent: (requester, silentMs) => {
+        log.emit('requesterSilent', {
+          peer: requester,
+          silentMs: Math.round(silentMs),
+        });
+        this.schedulers.cancelAllOf(requester);
+      },
+    });
+  }
+
   private createSubmitter(self: InstanceId): JobSubmitter {
     const {clock, log} = this.opts;
     return JobSubmitter.create({
@@ -217,6 +253,7 @@
       network: this.node.network,
       clock,
       log,
+      keepAliveMs: this.opts.cfg.heartbeatMs,
       longestLeaseMs: longestLeaseMs(this.opts.timing),
       schedule: (shard, job) => this.schedulers.submit(self, shard, job),
       quote: (shard, job) => this.schedulers.quote(shard, job),
--- a/packages/daemon/src/entry_instance/job_submitter.test.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.test.ts
@@ -126,6 +126,7 @@
     network: this.network(),
     clock: this.clock,
     log: SilentLog.create(),
+    keepAliveMs: 300,
     longestLeaseMs: LEASE_MS,
     quote: () => quoteOf(),
     schedule: (_shard, job) => {
--- a/packages/daemon/src/entry_instance/job_submitter.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.ts
@@ -93,6 +93,11 @@
     return new JobSubmitter(opts);
   }
 
+  /** Instances whose schedulers run jobs of this one. */
+  awaitedSchedulers(): IterableIterator<InstanceId> {
+    return this.submissions.schedulers();
+  }
+
   /**
    * Runs a job on a scheduler of this data centre, or shares it out over several
    * schedulers if that one refuses it.
@@ -235,7 +240,7 @@
     const timeoutMs = Math.max(1, job.leftMs) + RESPONSE_GRACE_MS;
     const latestMs = clock.now() + timeoutMs;
     try {
-      const req = {job, shard};
+      const req = {job, shard, keepAliveMs: this.opts.keepAliveMs};
       const res = await network.call(instanceId, 'scheduleJob', req, {
         timeoutMs,
       });
--- a/packages/daemon/src/entry_instance/job_submitter_options.ts
+++ b/packages/daemon/src/entry_instance/job_submitter_options.ts
@@ -22,6 +22,11 @@
   readonly network: Pick<PeerNetwork, 'call' | 'notify'>;
   readonly clock: Clock;
   readonly log: EventLog;
+  /**
+   * Longest time between two messages to a scheduler that runs jobs of this
+   * instance, in milliseconds.
+   */
+  readonly keepAliveMs: number;
   /** Longest time for which runs of a lost scheduler go on, in milliseconds. */
   readonly longestLeaseMs: number;
   /** Runs a job on a shard that this instance schedules. */
--- a/packages/daemon/src/entry_instance/local_schedulers.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.ts
@@ -31,6 +31,8 @@
 /** Submission of a job or of a part of one, whose outcome an instance waits for. */
 interface Submission {
   readonly requester: InstanceId;
+  /** Whether the requester sends something while it waits. */
+  readonly isKeptAlive: boolean;
 }
 
 /**
@@ -99,11 +101,20 @@
     return this.schedulers.get(shard)?.token;
   }
 
-  /** Runs a job on a shard, or refuses it. */
+  /**
+   * Runs a job on a shard, or refuses it.
+   *
+   * @param requester - Instance that waits for the outcome.
+   * @param shard - The shard.
+   * @param job - The job.
+   * @param isKeptAlive - Whether the requester sends something while it waits,
+   *   so that its silence means that it is lost.
+   */
   async submit(
     requester: InstanceId,
     shard: ShardId,
     job: ScheduledJob,
+    isKeptAlive = false,
   ): Promise<JobOutcome> {
     const scheduler = this.schedulers.get(shard);
     if (!scheduler) {
@@ -111,7 +122,7 @@
     }
     const byJob = this.submissionsOf(shard);
     const submissions = byJob.get(job.id) ?? new Set();
-    const submission: Submission = {requester};
+    const submission: Submission = {requester, isKeptAlive};
     byJob.set(job.id, submissions.add(submission));
     try {
       return await scheduler.submit(job);
@@ -160,6 +171,21 @@
     }
   }
 
+  /** Instances that wait for jobs and send something while they do. */
+  keptAliveRequesters(): Set<InstanceId> {
+    const requesters = new Set<InstanceId>();
+    for (const byJob of this.submissions.values()) {
+      for (const submissions of byJob.values()) {
+        for (const {requester, isKeptAlive} of submissions) {
+          if (isKeptAlive) {
+            requesters.add(requester);
+          }
+        }
+      }
+    }
+    return requesters;
+  }
+
   /** Cancels all jobs of an instance that no other one waits for. */
   cancelAllOf(requester: InstanceId): void {
     const jobIds = new Set<JobId>();
--- /dev/null
+++ b/packages/daemon/src/entry_instance/silent_requesters.test.ts
@@ -0,0 +1,284 @@
+import type {
+  BootId,
+  DataCentreId,
+  InstanceId,
+  JobId,
+  JobOutcome,
+  KindId,
+  ScheduledJob,
+  ServiceId,
+  ShardId,
+  TargetId,
+  TaskId,
+} from '@papayarun/protocol';
+import {SeededRandom} from '@papayarun/protocol';
+import type {TargetPort} from '@papayarun/scheduling';
+import {EmulatedTarget, SilentLog, VirtualClock} from '@papayarun/test_kit';
+import {describe, expect, it} from 'vitest';
+import {KeepAliveSender} from './keep_alive_sender.js';
+import {LocalSchedulers} from './local_schedulers.js';
+import type {LocalSchedulersOptions} from './local_schedulers_options.js';
+import {RequesterMonitor} from './requester_monitor.js';
+
+const ENTRY = 'centro-2:7720' as InstanceId;
+const OTHER_ENTRY = 'serra-1:7720' as InstanceId;
+const BOOT = 'b' as BootId;
+const CORES = 32;
+const NEEDS = {cores: 14, memoryMb: 64, accelerators: 0};
+const MAX_LEASE_MS = 1_000;
+const STOP_MS = 50;
+const RUN_MS = 4_000;
+const KEEP_ALIVE_MS = 300;
+const MAX_SILENCE_MS = 900;
+/** Time after which a caller sends an unanswered job again, in milliseconds. */
+const RESEND_MS = 1_300;
+
+const JOB: ScheduledJob = {
+  id: '5c0e7a21d94b36f8' as JobId,
+  kind: 'relato' as KindId,
+  service: 'falhas' as ServiceId,
+  spec: '',
+  steps: [
+    {count: 4, firstIndex: 0, needs: NEEDS, estimateMs: 1_000, after: []},
+  ],
+  priority: 0,
+  maxAttempts: 4,
+  stretch: 1.6,
+  slackMs: 60,
+  ageMs: 0,
+  leftMs: 8_000,
+  isPromised: true,
+};
+
+/** Schedulers of two data centres, each with targets of its own. */
+class Fixture {
+  readonly clock = VirtualClock.create();
+  readonly log = SilentLog.create();
+  readonly concurrentRuns: TaskId[] = [];
+  /** Time of the last message of each requester to the first data centre. */
+  readonly lastHeardMs = new Map<InstanceId, number>();
+  readonly centro: LocalSchedulers;
+  readonly serra: LocalSchedulers;
+  starts = 0;
+  private readonly targets = new Map<TargetId, EmulatedTarget>();
+
+  constructor() {
+    this.centro = this.createSchedulers('centro');
+    this.serra = this.createSchedulers('serra');
+    RequesterMonitor.create({
+      clock: this.clock,
+      maxSilenceMs: MAX_SILENCE_MS,
+      requesters: () => this.centro.keptAliveRequesters(),
+      lastHeardMs: requester => this.lastHeardMs.get(requester),
+      onSilent: requester => this.centro.cancelAllOf(requester),
+    }).start();
+  }
+
+  /** Submits the job by way of an entry, which is heard by that. */
+  submit(
+    requester: InstanceId,
+    schedulers = this.centro,
+    isKeptAlive = true,
+  ): {outcome?: JobOutcome} {
+    const answer: {outcome?: JobOutcome} = {};
+    const shard = (schedulers === this.centro ? 'centro' : 'serra') as ShardId;
+    this.lastHeardMs.set(requester, this.clock.now());
+    void schedulers
+      .submit(requester, shard, JOB, isKeptAlive)
+      .then(outcome => (answer.outcome = outcome));
+    return answer;
+  }
+
+  private createSchedulers(dataCentre: string): LocalSchedulers {
+    const shard = dataCentre as ShardId;
+    const ignore = (): void => undefined;
+    const self = `${dataCentre}-1:7720` as InstanceId;
+    const grant = {instanceId: self, boot: BOOT, token: 1};
+    const store = {state: {schedulers: {[shard]: grant}, targetShards: {}}};
+    const schedulers = LocalSchedulers.create({
+      self,
+      dataCentre: dataCentre as DataCentreId,
+      targetClient: this.port(),
+      timing: {maxLeaseMs: MAX_LEASE_MS, stopMs: STOP_MS, reportMs: 0},
+      store: store as unknown as LocalSchedulersOptions['store'],
+      clock: this.clock,
+      log: this.log,
+      metrics: {
+        recordJob: ignore,
+        recordForecastError: ignore,
+        recordFreeSlots: ignore,
+      },
+      loopLagMs: () => 0,
+      onTaskLost: ignore,
+    });
+    schedulers.applyGrants(BOOT);
+    for (const n of [1, 2]) {
+      const targetId = `${dataCentre}-${n}` as TargetId;
+      this.targets.set(
+        targetId,
+        EmulatedTarget.create(
+          this.clock,
+          SeededRandom.create(n),
+          CORES,
+          MAX_LEASE_MS,
+          () => RUN_MS,
+        ),
+      );
+      schedulers.acceptReport(shard, {
+        targetId,
+        bornMs: 1,
+        sequence: 1,
+        state: 'ready',
+        service: JOB.service,
+        dataCentre: dataCentre as DataCentreId,
+        host: '127.0.0.1',
+        port: 1,
+        capacity: {cores: CORES, memoryMb: 1_024, accelerators: 0},
+        labels: [],
+      });
+    }
+    return schedulers;
+  }
+
+  private port(): TargetPort {
+    return {
+      start: async (to, order) => {
+        await this.clock.sleep(1);
+        const {taskId, run, token, leaseEndMs} = order;
+        if ([...this.targets.values()].some(t => t.isRunning(taskId))) {
+          this.concurrentRuns.push(taskId);
+        }
+        this.starts++;
+        const target = this.targets.get(to.targetId)!;
+        return target.start(taskId, run, NEEDS.cores, token, leaseEndMs);
+      },
+      stop: async (to, {taskId, run, token}) => {
+        await this.clock.sleep(1);
+        return this.targets.get(to.targetId)!.stop(taskId, run, token);
+      },
+      hold: async (to, {token, lastSeenEnd, leaseEndMs, waitMs}) => {
+        const target = this.targets.get(to.targetId)!;
+        target.hold(token, lastSeenEnd, leaseEndMs);
+        const endMs = this.clock.now() + waitMs;
+        do {
+          await this.clock.sleep(2);
+        } while (this.clock.now() < endMs && !target.hasEndAfter(lastSeenEnd));
+        const res = target.hold(token, lastSeenEnd, leaseEndMs)!;
+        return {kind: 'held', bornMs: 1, ...res};
+      },
+      closeConnections: () => undefined,
+    };
+  }
+}
+
+describe('A job whose entry falls silent without a broken link', () => {
+  // The scheduler renewed the leases of the runs until the link counted as lost,
+  // longer than the caller of the entry waited to send the job again elsewhere.
+  it('does not run on when its caller may send it again to another data centre', async () => {
+    const fixture = new Fixture();
+    await fixture.clock.advance(20);
+    fixture.submit(ENTRY);
+    await fixture.clock.advance(RESEND_MS);
+    expect(fixture.starts).toBe(4);
+    fixture.submit(OTHER_ENTRY, fixture.serra);
+    await fixture.clock.advance(1_000);
+    expect(fixture.starts).toBe(8);
+    expect(fixture.concurrentRuns).toEqual([]);
+  });
+
+  it('is kept for another entry that waits for it too', async () => {
+    const fixture = new Fixture();
+    await fixture.clock.advance(20);
+    fixture.submit(ENTRY);
+    const other = fixture.submit(OTHER_ENTRY);
+    for (let ms = 0; ms < RUN_MS + 500; ms += 100) {
+      fixture.lastHeardMs.set(OTHER_ENTRY, fixture.clock.now());
+      await fixture.clock.advance(100);
+    }
+    expect(other.outcome).toMatchObject({kind: 'completed'});
+    expect(fixture.starts).toBe(4);
+  });
+});
+
+describe('A job whose entry is slow', () => {
+  // Of the messages that an entry sends each 300 ms, one or two may come late.
+  it('runs on while something arrives of it in time', async () => {
+    const fixture = new Fixture();
+    await fixture.clock.advance(20);
+    const answer = fixture.submit(ENTRY);
+    for (let ms = 0; ms < RUN_MS + 850; ms += 850) {
+      await fixture.clock.advance(850);
+      fixture.lastHeardMs.set(ENTRY, fixture.clock.now());
+    }
+    expect(answer.outcome).toMatchObject({kind: 'completed'});
+  });
+});
+
+describe('A job whose entry is of a version without keep-alive notices', () => {
+  it('runs on while its entry is silent', async () => {
+    const fixture = new Fixture();
+    await fixture.clock.advance(20);
+    const answer = fixture.submit(ENTRY, fixture.centro, false);
+    await fixture.clock.advance(RUN_MS + 100);
+    expect(answer.outcome).toMatchObject({kind: 'completed'});
+  });
+});
+
+describe('RequesterMonitor', () => {
+  // The messages of the pause are read after the timers.
+  it('does not count a pause of its own process as silence', async () => {
+    const clock = VirtualClock.create();
+    let pausedMs = 0;
+    const silent: InstanceId[] = [];
+    RequesterMonitor.create({
+      clock: {
+        now: () => clock.now() + pausedMs,
+        wallNow: () => clock.wallNow(),
+        sleep: (ms, signal) => clock.sleep(ms, signal),
+      },
+      maxSilenceMs: MAX_SILENCE_MS,
+      requesters: () => [ENTRY],
+      lastHeardMs: () => 0,
+      onSilent: requester => silent.push(requester),
+    }).start();
+    await clock.advance(250);
+    pausedMs = 3_000;
+    await clock.advance(400);
+    expect(silent).toEqual([]);
+    await clock.advance(400);
+    expect(silent).toEqual([ENTRY]);
+  });
+});
+
+describe('KeepAliveSender', () => {
+  it('sends one notice to a scheduler that gets nothing else, and none to a busy one', async () => {
+    const clock = VirtualClock.create();
+    const lastSentMs = new Map<InstanceId, number>();
+    const notices = new Map<InstanceId, number[]>();
+    const schedulers = [ENTRY, OTHER_ENTRY];
+    const sender = KeepAliveSender.create({
+      clock,
+      intervalMs: KEEP_ALIVE_MS,
+      network: {
+        notify: to => {
+          lastSentMs.set(to, clock.now());
+          notices.set(to, [...(notices.get(to) ?? []), clock.now()]);
+        },
+        lastSentMs: peer => lastSentMs.get(peer),
+      },
+      schedulers: () => schedulers,
+    });
+    sender.start();
+    for (let ms = 0; ms < 3_000; ms += 50) {
+      lastSentMs.set(OTHER_ENTRY, clock.now());
+      await clock.advance(50);
+    }
+    const sentMs = notices.get(ENTRY) ?? [];
+    const gapsMs = sentMs.map((ms, n) => ms - (sentMs[n - 1] ?? 0));
+    expect(Math.max(...gapsMs)).toBeLessThanOrEqual(KEEP_ALIVE_MS);
+    expect(notices.has(OTHER_ENTRY)).toBe(false);
+    schedulers.length = 0;
+    await clock.advance(1_000);
+    expect(notices.get(ENTRY)).toHaveLength(sentMs.length);
+  });
+});
--- a/packages/daemon/src/entry_instance/waiting_submissions.ts
+++ b/packages/daemon/src/entry_instance/waiting_submissions.ts
@@ -6,6 +6,8 @@
  */
 export class WaitingSubmissions {
   private readonly byJob = new Map<string, Set<ScheduledJob>>();
+  /** Number of jobs at each scheduler. */
+  private readonly jobCounts = new Map<InstanceId, number>();
 
   private constructor() {}
 
@@ -20,10 +22,19 @@
     return new WaitingSubmissions();
   }
 
+  /** Instances whose schedulers run a job that a caller waits for. */
+  schedulers(): IterableIterator<InstanceId> {
+    return this.jobCounts.keys();
+  }
+
   /** Adds a submission; each has a job object of its own. */
   add(scheduler: InstanceId, job: ScheduledJob): void {
     const key = keyOf(scheduler, job.id);
     const jobs = this.byJob.get(key) ?? new Set();
+    if (jobs.size === 0) {
+      const count = this.jobCounts.get(scheduler) ?? 0;
+      this.jobCounts.set(scheduler, count + 1);
+    }
     this.byJob.set(key, jobs.add(job));
   }
 
@@ -31,9 +42,9 @@
   remove(scheduler: InstanceId, job: ScheduledJob): void {
     const key = keyOf(scheduler, job.id);
     const jobs = this.byJob.get(key);
-    jobs?.delete(job);
-    if (jobs?.size === 0) {
+    if (jobs?.delete(job) && jobs.size === 0) {
       this.byJob.delete(key);
+      this.removeJob(scheduler);
     }
   }
 
@@ -41,6 +52,15 @@
   has(scheduler: InstanceId, jobId: JobId): boolean {
     return this.byJob.has(keyOf(scheduler, jobId));
   }
+
+  private removeJob(scheduler: InstanceId): void {
+    const count = this.jobCounts.get(scheduler)! - 1;
+    if (count > 0) {
+      this.jobCounts.set(scheduler, count);
+    } else {
+      this.jobCounts.delete(scheduler);
+    }
+  }
 }
 
 function keyOf(scheduler: InstanceId, jobId: JobId): string {
--- a/packages/membership/src/ws_peer_network/peer_link.ts
+++ b/packages/membership/src/ws_peer_network/peer_link.ts
@@ -19,6 +19,8 @@
   private nextCallId = 1;
   /** Time of the last received frame in milliseconds, by `now`. */
   lastHeardMs: number;
+  /** Time of the last sent frame in milliseconds, by `now`. */
+  lastSentMs: number;
 
   private constructor(
     readonly peer: InstanceId,
@@ -29,6 +31,7 @@
     private readonly now: () => number,
   ) {
     this.lastHeardMs = now();
+    this.lastSentMs = this.lastHeardMs;
   }
 
   /**
@@ -134,6 +137,7 @@
       return;
     }
     const bytes = encodeMessage(frame);
+    this.lastSentMs = this.now();
     this.observer.sent(type, bytes.length);
     this.socket.send(bytes);
   }
--- a/packages/membership/src/ws_peer_network/ws_peer_network.ts
+++ b/packages/membership/src/ws_peer_network/ws_peer_network.ts
@@ -184,6 +184,22 @@
     return [...this.links.keys()];
   }
 
+  /**
+   * Monotonic time of the last frame from a peer, in milliseconds; undefined
+   * without a link to it.
+   */
+  lastHeardMs(peer: InstanceId): number | undefined {
+    return this.links.get(peer)?.lastHeardMs;
+  }
+
+  /**
+   * Monotonic time of the last frame to a peer, in milliseconds; undefined
+   * without a link to it.
+   */
+  lastSentMs(peer: InstanceId): number | undefined {
+    return this.links.get(peer)?.lastSentMs;
+  }
+
   /** Bytes that wait to be sent on all links. */
   unsentBytes(): number {
     let bytes = 0;
--- a/packages/protocol/src/event_log/event_catalogue.ts
+++ b/packages/protocol/src/event_log/event_catalogue.ts
@@ -370,6 +370,11 @@
     level: 'info',
     text: 'outcome of a job was returned to its caller',
   },
+  requesterSilent: {
+    number: 7011,
+    level: 'warn',
+    text: 'decision: jobs of an instance cancelled, which was silent for too long while it waited for them',
+  },
   jobUnsupported: {
     number: 7009,
     level: 'warn',
--- a/packages/protocol/src/messages/peer_notices.ts
+++ b/packages/protocol/src/messages/peer_notices.ts
@@ -14,6 +14,11 @@
   claimAnswered: ClaimAnswered;
   /** Cancels a piece of work because no caller waits for it any more. */
   cancelDispatch: {readonly requestId: RequestId | string};
+  /**
+   * Shows that an instance still waits for the jobs that it has submitted, if it
+   * sends nothing else; versions before it ignore the notice.
+   */
+  keepAlive: Record<string, never>;
   /** Cancels a job at its scheduler because no caller waits for it any more. */
   cancelJob: {readonly jobId: JobId};
   /**
--- a/packages/protocol/src/messages/schedule_job_call.ts
+++ b/packages/protocol/src/messages/schedule_job_call.ts
@@ -11,6 +11,11 @@
     readonly job: ScheduledJob;
     /** Absent in versions without shards, which mean the first one. */
     readonly shard?: ShardId;
+    /**
+     * Longest time between two messages of the sender while it waits for the
+     * response, in milliseconds. Absent in versions that send none in between.
+     */
+    readonly keepAliveMs?: number;
   };
   readonly res: {readonly outcome: JobOutcome};
 }
