--- a/packages/daemon/src/entry_instance/job_submitter.test.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.test.ts
@@ -84,6 +84,8 @@
   /** Times at which the cancel of a job was sent to the other instance. */
   readonly cancelNoticesMs: number[] = [];
   quoteRequests = 0;
+  /** Lag of the event loop, in milliseconds. */
+  loopLagMs = 0;
   /** Instance that schedules the shard of this data centre. */
   localInstance = SELF;
   /** Shards of other schedulers. */
@@ -127,6 +129,8 @@
     clock: this.clock,
     log: SilentLog.create(),
     keepAliveMs: 300,
+    loopLagMs: () => this.loopLagMs,
+    maxPauseMs: 900,
     longestLeaseMs: LEASE_MS,
     quote: () => quoteOf(),
     schedule: (_shard, job) => {
@@ -534,4 +538,29 @@
     await fixture.clock.advance(1);
     expect(fixture.cancelNoticesMs).toEqual([2_400]);
   });
+
+  // The request had waited unread while the process was frozen, with the end of
+  // its connection behind it; its caller had sent it again elsewhere.
+  it('submits nothing for a caller that left while this process was paused', async () => {
+    const fixture = new Fixture();
+    fixture.loopLagMs = 3_000;
+    const caller = new AbortController();
+    const answer = fixture.submitAndRecord(jobOf(2), caller.signal);
+    await fixture.clock.advance(5);
+    caller.abort();
+    await fixture.clock.advance(100);
+    expect(fixture.localJobs).toEqual([]);
+    expect(answer.outcome).toMatchObject({
+      kind: 'refused',
+      reason: 'cancelled',
+    });
+  });
+
+  it('submits the job of a caller that stayed while this process was paused', async () => {
+    const fixture = new Fixture();
+    fixture.loopLagMs = 3_000;
+    const answer = fixture.submitAndRecord(jobOf(2));
+    await fixture.clock.advance(100);
+    expect(answer.outcome).toEqual(COMPLETED);
+  });
 });
--- a/packages/daemon/src/entry_instance/job_submitter.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.ts
@@ -48,6 +48,11 @@
  * any; under overload all do, and each quote adds to the load.
  */
 const QUOTES_PER_JOB = 2;
+/**
+ * Time in which a process that was paused reads what has arrived meanwhile, in
+ * milliseconds: some turns of its event loop.
+ */
+const CATCH_UP_MS = 20;
 /** Retry delay sent to callers if no scheduler is reachable, in milliseconds. */
 const NO_SCHEDULER_RETRY_MS = 1_000;
 
@@ -212,6 +217,11 @@
     job: ScheduledJob,
     signal: AbortSignal,
   ): Promise<JobOutcome> {
+    if (this.opts.loopLagMs() > this.opts.maxPauseMs) {
+      // The request may have waited unread with the end of its connection behind
+      // it, and its caller may have sent it again elsewhere.
+      await this.opts.clock.sleep(CATCH_UP_MS, signal);
+    }
     if (signal.aborted) {
       return CANCELLED_REFUSAL;
     }
--- a/packages/daemon/src/entry_instance/job_submitter_options.ts
+++ b/packages/daemon/src/entry_instance/job_submitter_options.ts
@@ -29,6 +29,13 @@
   readonly keepAliveMs: number;
   /** Longest time for which runs of a lost scheduler go on, in milliseconds. */
   readonly longestLeaseMs: number;
+  /** Time by which the event loop has run late just now, in milliseconds. */
+  readonly loopLagMs: () => number;
+  /**
+   * Pause of this process in which a caller may have left and sent its job again
+   * elsewhere, in milliseconds.
+   */
+  readonly maxPauseMs: number;
   /** Runs a job on a shard that this instance schedules. */
   readonly schedule: (shard: ShardId, job: ScheduledJob) => Promise<JobOutcome>;
   /** Quotes a job on a shard that this instance schedules. */
