--- a/packages/scheduling/src/_lib/target_session.ts
+++ b/packages/scheduling/src/_lib/target_session.ts
@@ -55,6 +55,13 @@
  */
 const LEASE_SLACK_MS = 20;
 
+/**
+ * Largest error of a target's clock under which runs are ordered, as a share of
+ * the longest lease. A lease is that much shorter, and still has to last over a
+ * hold that waits.
+ */
+const MAX_CLOCK_ERROR_SHARE = 0.3;
+
 /** Run on a target that this scheduler did not order. */
 interface Orphan {
   readonly runNumber: number;
@@ -107,6 +114,8 @@
    * confirmed yet.
    */
   private isRestartSuspected = false;
+  /** Whether a hold is on its way to read the clock. */
+  private isReadingClock = false;
   private isClosed = false;
   /** Whether the last order failed since nothing listens at the address. */
   private isRefusing = false;
@@ -176,11 +185,30 @@
   get mayStartRun(): boolean {
     return (
       this.isAvailable &&
+      this.isClockAccurate &&
       this.orphans.size === 0 &&
       this.firstAbandonedMs() === undefined
     );
   }
 
+  /** Whether a lease that is granted now is about as long as it may be. */
+  private get isClockAccurate(): boolean {
+    const {clock, timing} = this.host;
+    const maxErrorMs = MAX_CLOCK_ERROR_SHARE * timing.maxLeaseMs;
+    return this.clock.maxErrorMs(clock.now()) <= maxErrorMs;
+  }
+
+  /** Reads the clock of an idle target again if no run may be ordered without. */
+  updateClock(): void {
+    if (this.isAvailable && !this.isClockAccurate && !this.isReadingClock) {
+      this.isReadingClock = true;
+      void this.refreshRuns().then(() => {
+        this.isReadingClock = false;
+        this.host.onChange();
+      });
+    }
+  }
+
   /**
    * Capacity that is not taken by runs that are ordered and not known to have
    * ended.
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -648,6 +648,7 @@
   private availableCandidates(): SessionCandidate[] {
     const candidates: SessionCandidate[] = [];
     for (const session of this.sessions.values()) {
+      session.updateClock();
       if (session.mayStartRun) {
         candidates.push({
           session,
--- a/packages/scheduling/src/target_clock/target_clock.test.ts
+++ b/packages/scheduling/src/target_clock/target_clock.test.ts
@@ -24,6 +24,25 @@
     );
   });
 
+  it('is never ahead of a slow target clock', () => {
+    fc.assert(
+      fc.property(
+        fc.double({min: 0.98, max: 1, noNaN: true}),
+        fc.integer({min: 0, max: 100_000}),
+        fc.integer({min: 0, max: 500_000}),
+        (rate, offset, laterMs) => {
+          const clock = TargetClock.create();
+          clock.addReading(offset, 0, 0);
+          const targetMs = offset + rate * laterMs;
+          expect(clock.at(laterMs)).toBeLessThanOrEqual(targetMs + 1e-6);
+          expect(clock.at(laterMs)).toBeGreaterThanOrEqual(
+            targetMs - 2 * clock.maxErrorMs(laterMs) - 1,
+          );
+        },
+      ),
+    );
+  });
+
   // Answers on different connections may overtake each other.
   it('takes no reading of a steady clock for that of a restarted one', () => {
     const times = fc.tuple(
--- a/packages/scheduling/src/target_clock/target_clock.ts
+++ b/packages/scheduling/src/target_clock/target_clock.ts
@@ -74,16 +74,29 @@
   }
 
   /**
-   * Estimates the time on the target's clock.
+   * Time that the target's clock has reached for certain, even if it runs slow by
+   * the largest drift. A lease that is counted from a later time would be too
+   * long.
    *
    * @param nowMs - Local monotonic time in milliseconds.
-   * @returns The time on the target's clock in milliseconds; 0 without a
-   *   reading.
+   * @returns Time on the target's clock in milliseconds; 0 without a reading.
    */
   at(nowMs: number): number {
-    return this.lastReadingMs === undefined
-      ? 0
-      : Math.ceil(this.lastReadingMs + nowMs - this.readAtMs);
+    if (this.lastReadingMs === undefined) {
+      return 0;
+    }
+    const elapsedMs = nowMs - this.readAtMs;
+    return Math.floor(this.lastReadingMs + elapsedMs - this.maxErrorMs(nowMs));
+  }
+
+  /**
+   * Most by which the target's clock may have run slow since the last reading.
+   *
+   * @param nowMs - Local monotonic time in milliseconds.
+   * @returns The error in milliseconds.
+   */
+  maxErrorMs(nowMs: number): number {
+    return Math.max(0, nowMs - this.readAtMs) * MAX_CLOCK_DRIFT;
   }
 
   /**
