--- a/packages/scheduling/src/_test/play_faults.ts
+++ b/packages/scheduling/src/_test/play_faults.ts
@@ -47,6 +47,17 @@
           );
           return;
         }
+        case 'replace': {
+          const {targetIds} = pick(centres, fault.centre);
+          await pick(centres, fault.centre).replace(
+            fault.endsAfterMs,
+            fault.isDeaf,
+            fault.unreachable === undefined
+              ? undefined
+              : pick(targetIds, fault.unreachable),
+          );
+          return;
+        }
         case 'handOver':
           await pick(centres, fault.centre).handOver(fault.gapMs);
           return;
--- a/packages/scheduling/src/_test/scheduler_link.ts
+++ b/packages/scheduling/src/_test/scheduler_link.ts
@@ -1,3 +1,5 @@
+import type {TargetId} from '@papayarun/protocol';
+
 /**
  * Link of a scheduler to all its targets.
  */
@@ -7,4 +9,8 @@
    * and gets no answer. Orders that are on their way still arrive.
    */
   isDown: boolean;
+  /** Whether no answer reaches it. */
+  isDeaf: boolean;
+  /** Targets that no order of it reaches. */
+  readonly unreachable: Set<TargetId>;
 }
--- a/packages/scheduling/src/_test/search_plans.ts
+++ b/packages/scheduling/src/_test/search_plans.ts
@@ -134,6 +134,29 @@
     .map(([restarts, others]) => [...restarts, ...others]),
 });
 
+/** Plans in which a scheduler acts beside its successor for a while. */
+export const replacePlans: fc.Arbitrary<SearchPlan> = record({
+  seed: fc.nat(9_999),
+  targets: fc.array(fc.integer({min: 1, max: 3}), {minLength: 2, maxLength: 3}),
+  callers: fc.array(callerPlans, {minLength: 2, maxLength: 6}),
+  faults: fc
+    .tuple(
+      fc.array(
+        record<SimulatedFault>({
+          kind: fc.constant('replace' as const),
+          atMs: fc.nat(3_000),
+          centre,
+          endsAfterMs: fc.nat(3_000),
+          isDeaf: fc.boolean(),
+          unreachable: fc.option(fc.nat(2), {nil: undefined}),
+        }),
+        {minLength: 1, maxLength: 3},
+      ),
+      fc.array(faultPlans, {maxLength: 4}),
+    )
+    .map(([replacements, others]) => [...replacements, ...others]),
+});
+
 /** Plans of a search, all of whose faults end. */
 export const searchPlans: fc.Arbitrary<SearchPlan> = fc.oneof(
   widePlans,
--- a/packages/scheduling/src/_test/simulated_data_centre.ts
+++ b/packages/scheduling/src/_test/simulated_data_centre.ts
@@ -36,6 +36,27 @@
     await this.startSuccessor(gapMs);
   }
 
+  /**
+   * Starts a successor beside the scheduler, which notices it by a target or ends
+   * later.
+   */
+  async replace(
+    endsAfterMs: number,
+    isDeaf: boolean,
+    unreachable: TargetId | undefined,
+  ): Promise<void> {
+    const former = this.scheduler;
+    former.setDeaf(isDeaf);
+    await this.startSuccessor(0, unreachable);
+    const successor = this.scheduler;
+    await this.simulation.clock.sleep(endsAfterMs);
+    if (unreachable !== undefined) {
+      successor.setUnreachable(unreachable, false);
+    }
+    former.setDeaf(false);
+    former.scheduler.end();
+  }
+
   /** Kills the scheduler, and starts a successor after some time. */
   async kill(gapMs: number): Promise<void> {
     this.scheduler.kill();
@@ -69,12 +90,18 @@
     }
   }
 
-  private async startSuccessor(gapMs: number): Promise<void> {
+  private async startSuccessor(
+    gapMs: number,
+    unreachable?: TargetId,
+  ): Promise<void> {
     const token = ++this.token;
     await this.simulation.clock.sleep(gapMs);
     // Another end of the scheduler may have been followed by a later grant.
     if (token === this.token) {
       this.scheduler = new SimulatedScheduler(this.simulation, token);
+      if (unreachable !== undefined) {
+        this.scheduler.setUnreachable(unreachable, true);
+      }
       this.reportAll();
     }
   }
--- a/packages/scheduling/src/_test/simulated_fault.ts
+++ b/packages/scheduling/src/_test/simulated_fault.ts
@@ -34,6 +34,17 @@
       /** Time until the first report of the new incarnation, in milliseconds. */
       readonly reportAfterMs: number;
     }
+  | {
+      readonly kind: 'replace';
+      readonly atMs: number;
+      readonly centre: number;
+      /** Time until the former scheduler ends, in milliseconds. */
+      readonly endsAfterMs: number;
+      /** Whether the former scheduler hears no answer meanwhile. */
+      readonly isDeaf: boolean;
+      /** Target that the successor can't reach meanwhile, if there is one. */
+      readonly unreachable: number | undefined;
+    }
   | {
       readonly kind: 'handOver' | 'kill';
       readonly atMs: number;
--- a/packages/scheduling/src/_test/simulated_scheduler.ts
+++ b/packages/scheduling/src/_test/simulated_scheduler.ts
@@ -3,6 +3,7 @@
   JobOutcome,
   JobQuote,
   ScheduledJob,
+  TargetId,
   TargetReport,
 } from '@papayarun/protocol';
 import {EMPTY_QUOTE} from '@papayarun/protocol';
@@ -23,7 +24,11 @@
  */
 export class SimulatedScheduler {
   readonly scheduler: Scheduler;
-  private readonly link: SchedulerLink = {isDown: false};
+  private readonly link: SchedulerLink = {
+    isDown: false,
+    isDeaf: false,
+    unreachable: new Set(),
+  };
   /** Entries that wait for each job. */
   private readonly requesters = new Map<JobId, Set<string>>();
   private loseCalls: () => void = () => undefined;
@@ -45,6 +50,20 @@
     return !this.link.isDown && this.scheduler.token !== undefined;
   }
 
+  /** Cuts off or restores the answers of the targets, while orders leave it. */
+  setDeaf(isDeaf: boolean): void {
+    this.link.isDeaf = isDeaf;
+  }
+
+  /** Cuts the scheduler off from a target, or restores the path to it. */
+  setUnreachable(targetId: TargetId, isUnreachable: boolean): void {
+    if (isUnreachable) {
+      this.link.unreachable.add(targetId);
+    } else {
+      this.link.unreachable.delete(targetId);
+    }
+  }
+
   acceptReport(report: TargetReport): void {
     if (this.isActive) {
       this.scheduler.acceptReport(report);
--- a/packages/scheduling/src/_test/target_simulation.ts
+++ b/packages/scheduling/src/_test/target_simulation.ts
@@ -153,7 +153,11 @@
    */
   scheduler(
     ownsMoved = false,
-    link: SchedulerLink = {isDown: false},
+    link: SchedulerLink = {
+      isDown: false,
+      isDeaf: false,
+      unreachable: new Set(),
+    },
   ): Scheduler {
     return Scheduler.create({
       targetClient: this.port(link),
@@ -214,13 +218,26 @@
   }
 
   private port(link: SchedulerLink): TargetPort {
-    const send = <T>(carryOut: () => Promise<T>): Promise<T> =>
-      link.isDown ? new Promise(() => undefined) : carryOut();
+    const send = async <T>(
+      to: TargetEndpoint,
+      carryOut: () => Promise<T>,
+    ): Promise<T | {readonly kind: 'unknown'; readonly reason: string}> => {
+      if (link.isDown) {
+        return new Promise<never>(() => undefined);
+      }
+      const isReached = !link.unreachable.has(to.targetId);
+      const res = isReached ? await carryOut() : undefined;
+      if (res && !link.isDeaf) {
+        return res;
+      }
+      await this.clock.sleep(ORDER_TIMEOUT_MS);
+      return {kind: 'unknown', reason: 'answer lost'};
+    };
     return {
       start: (to, order) =>
-        send(() => this.order(to, t => this.start(t, order))),
-      stop: (to, order) => send(() => this.order(to, t => stop(t, order))),
-      hold: (to, order) => send(() => this.hold(to, order)),
+        send(to, () => this.order(to, t => this.start(t, order))),
+      stop: (to, order) => send(to, () => this.order(to, t => stop(t, order))),
+      hold: (to, order) => send(to, () => this.hold(to, order)),
       closeConnections: () => undefined,
     };
   }
--- a/packages/scheduling/src/scheduler/sent_again_search.test.ts
+++ b/packages/scheduling/src/scheduler/sent_again_search.test.ts
@@ -1,7 +1,11 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {playPlan} from '../_test/play_plan.js';
-import {restartPlans, searchPlans} from '../_test/search_plans.js';
+import {
+  replacePlans,
+  restartPlans,
+  searchPlans,
+} from '../_test/search_plans.js';
 
 /** Runs of the property test; CI uses the default. */
 const RUNS = Number(process.env['PAPAYARUN_RUNS'] ?? 100);
@@ -38,4 +42,18 @@
     },
     TIMEOUT_MS,
   );
+
+  // A scheduler that hears no answers doesn't notice its successor.
+  it(
+    'run no task twice at once when a scheduler acts beside its successor',
+    async () => {
+      await fc.assert(
+        fc.asyncProperty(replacePlans, async plan => {
+          expect(await playPlan(plan)).toEqual([]);
+        }),
+        {numRuns: RUNS, seed: SEED, endOnFailure: !IS_REDUCED},
+      );
+    },
+    TIMEOUT_MS,
+  );
 });
