--- a/packages/scheduling/src/_test/simulated_caller.ts
+++ b/packages/scheduling/src/_test/simulated_caller.ts
@@ -85,9 +85,5 @@
 }
 
 function isRetried(outcome: SubmissionRecord['outcome']): boolean {
-  return (
-    outcome?.kind === 'failed' &&
-    outcome.reason !== 'taskFailed' &&
-    outcome.reason !== 'targetLost'
-  );
+  return outcome?.kind === 'failed' && outcome.reason !== 'taskFailed';
 }
