--- a/packages/daemon/src/form_cluster/form_cluster.ts
+++ b/packages/daemon/src/form_cluster/form_cluster.ts
@@ -59,8 +59,13 @@
     voters: reports.map(toReplicaRef),
     learners: [],
   };
-  for (const {instanceId, status} of reports) {
-    if (status.blank) {
+  for (const report of reports) {
+    const {instanceId, status} = report;
+    // A replica that has lost its disk since the others were formed joins later.
+    const isMember = replicas.voters.some(
+      ref => ref.replicaId === toReplicaRef(report).replicaId,
+    );
+    if (status.blank && isMember) {
       await formReplica(network, replica, instanceId, replicas);
     }
   }
--- a/packages/daemon/src/state_instance/state_instance.ts
+++ b/packages/daemon/src/state_instance/state_instance.ts
@@ -21,6 +21,11 @@
 const COMPACT_AFTER_ENTRIES = 512;
 /** Delay between attempts to form the cluster at the first start, in ms. */
 const FORM_CLUSTER_RETRY_DELAY_MS = 50;
+/**
+ * Time that each seed leaves to the seeds before it to form the cluster, in
+ * milliseconds. Two that form it at once form the same one.
+ */
+const FORM_CLUSTER_TURN_MS = 1_000;
 /** Interval of the sweeps of expired target reports, in milliseconds. */
 const SWEEP_INTERVAL_MS = 1_000;
 /** Longest wait until a confirmed log index has been applied here, in ms. */
@@ -224,13 +229,19 @@
     }
   }
 
-  /** Forms the cluster once all seeds respond with empty disks. */
+  /**
+   * Forms the cluster once all seeds respond with empty disks. Each seed does so
+   * in its turn, since one that was restarted meanwhile can't tell the first start
+   * from the loss of its disk.
+   */
   private async formClusterLoop(): Promise<void> {
     const {cfg, clock, log} = this.opts;
     const seeds = [...cfg.seeds].sort();
-    if (seeds[0] !== cfg.instanceId) {
+    const turn = seeds.indexOf(cfg.instanceId);
+    if (turn < 0) {
       return;
     }
+    await clock.sleep(turn * FORM_CLUSTER_TURN_MS, this.stopping.signal);
     while (!this.stopping.signal.aborted && this.replica.status().blank) {
       try {
         const replicas = await formCluster(
