--- a/packages/scheduling/src/_lib/target_session.ts
+++ b/packages/scheduling/src/_lib/target_session.ts
@@ -597,7 +597,7 @@
     if (this.isClosed) {
       return true;
     }
-    if (res.kind === 'held') {
+    if (res.kind === 'held' && !this.isOfEarlierIncarnation(res, sent)) {
       this.handleHeld(res, order.lastSeenEnd, sent);
       return true;
     }
@@ -611,6 +611,7 @@
           this.leasesExpiredByMs = previousEndMs;
         }
         return this.handleHoldRejection(res.reason);
+      case 'held':
       case 'unknown':
         // A single answer may get lost; the target counts as silent only after
         // two unanswered holds in a row.
@@ -700,15 +701,10 @@
     acknowledgedEnd: number,
     sent: SendTime,
   ): void {
-    const isSinceRestart = sent.restarts === this.restarts;
     const {bornMs} = res;
-    if (bornMs === undefined ? !isSinceRestart : bornMs < this.bornMs) {
-      // The answer of an earlier incarnation was overtaken.
-      return;
-    }
     if (this.showsRestart(res, sent)) {
       this.restart(bornMs ?? 0);
-    } else if (isSinceRestart) {
+    } else if (sent.restarts === this.restarts) {
       this.lastAcknowledgedEnd = Math.max(
         this.lastAcknowledgedEnd,
         acknowledgedEnd,
@@ -721,6 +717,16 @@
     this.updateRuns(res, sent.atMs);
   }
 
+  /** Whether a list of runs is that of an incarnation before the current one. */
+  private isOfEarlierIncarnation(
+    {bornMs}: Extract<HoldResult, {kind: 'held'}>,
+    sent: SendTime,
+  ): boolean {
+    return bornMs === undefined
+      ? sent.restarts !== this.restarts
+      : bornMs < this.bornMs;
+  }
+
   /**
    * Whether a list of runs is that of a new incarnation. Without two times of
    * birth, the target's clock decides.
--- a/packages/scheduling/src/scheduler/restarted_targets.test.ts
+++ b/packages/scheduling/src/scheduler/restarted_targets.test.ts
@@ -282,4 +282,13 @@
     expect(sim.startsOf(job.id)).toBe(2);
     expect(sim.concurrentRuns).toEqual([]);
   });
+
+  it('is asked no more often than a silent one while its answers name an earlier incarnation', async () => {
+    const sim = new TargetSimulation(1, RUN_MS);
+    const scheduler = sim.scheduler();
+    scheduler.begin(1);
+    scheduler.acceptReport({...sim.addTarget(), bornMs: 5});
+    await sim.clock.advance(8_000);
+    expect(sim.holds).toBeLessThan(15);
+  });
 });
