--- a/packages/scheduling/src/_lib/target_session.ts
+++ b/packages/scheduling/src/_lib/target_session.ts
@@ -204,6 +204,8 @@
       this.isReadingClock = true;
       void this.refreshRuns().then(() => {
         this.isReadingClock = false;
+        // Without an answer, the target is silent and has to be asked again.
+        this.wake();
         this.host.onChange();
       });
     }
--- a/packages/scheduling/src/scheduler/scheduler.test.ts
+++ b/packages/scheduling/src/scheduler/scheduler.test.ts
@@ -114,6 +114,30 @@
     expect(simulation.holds - holdsBefore).toBeLessThanOrEqual(2);
   });
 
+  // The hold that reads the clock of an idle target again may be lost as well.
+  it('uses a target again that did not answer after it was idle for long', async () => {
+    const simulation = new TargetSimulation(1);
+    const scheduler = await startScheduler(simulation, 1);
+    const report = reportOf('t1' as TargetId);
+    for (let n = 0; n < 4; n++) {
+      await simulation.clock.advance(5 * SECOND_MS);
+      scheduler.acceptReport(report);
+    }
+    simulation.faults.cut.add(report.targetId);
+    const [step] = jobOf(0).steps;
+    const steps = [{...step!, count: 1}];
+    void scheduler.submit(jobOf(1, {steps, isPromised: true, leftMs: 2_000}));
+    for (let n = 0; n < 4; n++) {
+      await simulation.clock.advance(500);
+      void scheduler.submit(jobOf(2 + n, {steps, isPromised: true}));
+    }
+    simulation.faults.cut.clear();
+    await simulation.clock.advance(2 * SECOND_MS);
+    const outcome = scheduler.submit(jobOf(9, {steps}));
+    const end = await waitForOutcome(simulation.clock, outcome, 1_000);
+    expect(end.kind).toBe('completed');
+  });
+
   it('refuses at once a job that can not be done in time, and never starts it', async () => {
     const simulation = new TargetSimulation(2, 900);
     const scheduler = await startScheduler(simulation, 1);
