--- a/packages/daemon/src/control_client/control_client.test.ts
+++ b/packages/daemon/src/control_client/control_client.test.ts
@@ -94,6 +94,7 @@
       replicaInstances: names,
       electionTimeoutMs: ELECTION_TIMEOUT_MS,
       compactAfterEntries: this.compactAfterEntries,
+      compactAfterBytes: Infinity,
       makeReplicaId: () => `${name}r` as ReplicaId,
       apply: (index, command) => store.apply(index, command),
       restore: (index, state) => store.restore(index, state),
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -51,6 +51,10 @@
 
 /** Entries in the release log after which its journal is compacted. */
 const COMPACT_AFTER_ENTRIES = 512;
+/**
+ * Size of the journal beyond its snapshot after which it is compacted, in bytes.
+ */
+const COMPACT_AFTER_BYTES = 8 * 1024 * 1024;
 /** Unsent bytes on a peer link above which it refuses further calls. */
 const MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
 /** Timeout for connecting to a target, in milliseconds. */
@@ -266,6 +270,7 @@
       replicaInstances: replicaInstancesOf(this.cfg),
       electionTimeoutMs: this.cfg.timing.electionTimeoutMs,
       compactAfterEntries: COMPACT_AFTER_ENTRIES,
+      compactAfterBytes: COMPACT_AFTER_BYTES,
       makeReplicaId: () => randomUUID() as ReplicaId,
       apply: (index, command) => this.store.apply(index, command),
       restore: (index, state) => this.store.restore(index, state),
--- a/packages/daemon/src/state_instance/state_instance.ts
+++ b/packages/daemon/src/state_instance/state_instance.ts
@@ -19,6 +19,11 @@
 
 /** Number of log entries after which the replica compacts its log. */
 const COMPACT_AFTER_ENTRIES = 512;
+/**
+ * Size of the journal beyond its snapshot after which it is compacted, in bytes;
+ * a small part of the smallest disk.
+ */
+const COMPACT_AFTER_BYTES = 8 * 1024 * 1024;
 /** Delay between attempts to form the cluster at the first start, in ms. */
 const FORM_CLUSTER_RETRY_DELAY_MS = 50;
 /**
@@ -182,6 +187,7 @@
       },
       electionTimeoutMs: opts.cfg.electionTimeoutMs,
       compactAfterEntries: COMPACT_AFTER_ENTRIES,
+      compactAfterBytes: COMPACT_AFTER_BYTES,
       makeReplicaId: () => randomUUID() as ReplicaId,
       apply: (index, command) => store.apply(index, command),
       restore: (index, state) => store.restore(index, state),
--- a/packages/replication/src/replica/replica.test.ts
+++ b/packages/replication/src/replica/replica.test.ts
@@ -149,6 +149,7 @@
       replicaInstances: this.knownInstances,
       electionTimeoutMs: ELECTION_TIMEOUT_MS,
       compactAfterEntries: COMPACT_AFTER,
+      compactAfterBytes: Infinity,
       makeReplicaId: () => `${node.name}${++this.replicaCount}` as ReplicaId,
       apply: (index, command) =>
         this.apply(node, index, Buffer.from(command).toString('utf8')),
--- a/packages/replication/src/replica/replica.ts
+++ b/packages/replication/src/replica/replica.ts
@@ -566,10 +566,14 @@
   private async compactIfLong(): Promise<void> {
     const {log, opts} = this;
     const nowMs = opts.clock.now();
-    if (
-      log.length < opts.compactAfterEntries ||
-      nowMs < this.compactNotBeforeMs
-    ) {
+    const maxBytes = Math.max(
+      opts.compactAfterBytes,
+      log.snapshot.state.length,
+    );
+    const isLong =
+      log.length >= opts.compactAfterEntries ||
+      log.bytesAfterSnapshot >= maxBytes;
+    if (!isLong || nowMs < this.compactNotBeforeMs) {
       return;
     }
     const index = this.lastApplied;
--- a/packages/replication/src/replica/replica_options.ts
+++ b/packages/replication/src/replica/replica_options.ts
@@ -23,6 +23,11 @@
   readonly electionTimeoutMs: number;
   /** Number of log entries at which the journal is compacted. */
   readonly compactAfterEntries: number;
+  /**
+   * Size of the journal beyond its snapshot at which it is compacted, in bytes,
+   * unless the snapshot is larger. The disk has to hold two snapshots and this.
+   */
+  readonly compactAfterBytes: number;
   readonly makeReplicaId: () => ReplicaId;
   /** Problem of a command that could not be applied, if it has one. */
   readonly problemOf: (command: Uint8Array) => string | undefined;
--- a/packages/replication/src/replica/replica_rules.test.ts
+++ b/packages/replication/src/replica/replica_rules.test.ts
@@ -49,6 +49,7 @@
       replicaInstances: [A, B, C],
       electionTimeoutMs: ELECTION_TIMEOUT_MS,
       compactAfterEntries: 1_000,
+      compactAfterBytes: Infinity,
       makeReplicaId: () => `a${++this.replicaCount}` as ReplicaId,
       apply: index => {
         this.applied.push(index);
--- a/packages/replication/src/replica_log/replica_log.ts
+++ b/packages/replication/src/replica_log/replica_log.ts
@@ -64,6 +64,11 @@
     return this.entries.length;
   }
 
+  /** Size of the journal beyond its snapshot, in bytes. */
+  get bytesAfterSnapshot(): number {
+    return this.journal.sizeBytes - this.snapshot.state.length;
+  }
+
   /** Members by the newest membership entry, committed or not. */
   get replicas(): ReplicaSet {
     return this.lastReplicasEntry()?.replicas ?? this.snapshot.replicas;
