--- a/packages/scheduling/src/_test/search_plans.ts
+++ b/packages/scheduling/src/_test/search_plans.ts
@@ -113,49 +113,29 @@
 });
 
 /** Plans in which targets restart beside the other faults. */
-export const restartPlans: fc.Arbitrary<SearchPlan> = record({
-  seed: fc.nat(9_999),
-  targets: fc.array(fc.integer({min: 1, max: 3}), {minLength: 2, maxLength: 3}),
-  callers: fc.array(callerPlans, {minLength: 2, maxLength: 6}),
-  faults: fc
-    .tuple(
-      fc.array(
-        record<SimulatedFault>({
-          kind: fc.constant('restart' as const),
-          atMs: fc.nat(3_000),
-          centre,
-          target: fc.nat(2),
-          reportAfterMs: fc.nat(600),
-        }),
-        {minLength: 1, maxLength: 8},
-      ),
-      fc.array(faultPlans, {maxLength: 4}),
-    )
-    .map(([restarts, others]) => [...restarts, ...others]),
-});
+export const restartPlans = plansWith(
+  8,
+  record<SimulatedFault>({
+    kind: fc.constant('restart' as const),
+    atMs: fc.nat(3_000),
+    centre,
+    target: fc.nat(2),
+    reportAfterMs: fc.nat(600),
+  }),
+);
 
 /** Plans in which a scheduler acts beside its successor for a while. */
-export const replacePlans: fc.Arbitrary<SearchPlan> = record({
-  seed: fc.nat(9_999),
-  targets: fc.array(fc.integer({min: 1, max: 3}), {minLength: 2, maxLength: 3}),
-  callers: fc.array(callerPlans, {minLength: 2, maxLength: 6}),
-  faults: fc
-    .tuple(
-      fc.array(
-        record<SimulatedFault>({
-          kind: fc.constant('replace' as const),
-          atMs: fc.nat(3_000),
-          centre,
-          endsAfterMs: fc.nat(3_000),
-          isDeaf: fc.boolean(),
-          unreachable: fc.option(fc.nat(2), {nil: undefined}),
-        }),
-        {minLength: 1, maxLength: 3},
-      ),
-      fc.array(faultPlans, {maxLength: 4}),
-    )
-    .map(([replacements, others]) => [...replacements, ...others]),
-});
+export const replacePlans = plansWith(
+  3,
+  record<SimulatedFault>({
+    kind: fc.constant('replace' as const),
+    atMs: fc.nat(3_000),
+    centre,
+    endsAfterMs: fc.nat(3_000),
+    isDeaf: fc.boolean(),
+    unreachable: fc.option(fc.nat(2), {nil: undefined}),
+  }),
+);
 
 /** Plans of a search, all of whose faults end. */
 export const searchPlans: fc.Arbitrary<SearchPlan> = fc.oneof(
@@ -163,6 +143,27 @@
   narrowPlans,
 );
 
+/** Plans with some faults of one kind beside others. */
+function plansWith(
+  maxFaults: number,
+  fault: fc.Arbitrary<SimulatedFault>,
+): fc.Arbitrary<SearchPlan> {
+  return record({
+    seed: fc.nat(9_999),
+    targets: fc.array(fc.integer({min: 1, max: 3}), {
+      minLength: 2,
+      maxLength: 3,
+    }),
+    callers: fc.array(callerPlans, {minLength: 2, maxLength: 6}),
+    faults: fc
+      .tuple(
+        fc.array(fault, {minLength: 1, maxLength: maxFaults}),
+        fc.array(faultPlans, {maxLength: 4}),
+      )
+      .map(([faults, others]) => [...faults, ...others]),
+  });
+}
+
 /** Record that is printed without its prototype. */
 function record<T>(model: {
   [K in keyof T]: fc.Arbitrary<T[K]>;
--- a/packages/scheduling/src/scheduler/restarted_targets.test.ts
+++ b/packages/scheduling/src/scheduler/restarted_targets.test.ts
@@ -71,41 +71,27 @@
     });
   }
 
-  // The order was on its way when the report showed the restart.
-  it('keeps the run whose order arrives after its report', async () => {
-    for (let seed = 1; seed <= 20; seed++) {
-      const sim = new TargetSimulation(seed, RUN_MS);
-      const scheduler = await startScheduler(sim, 1);
-      await sim.clock.advance(3_000);
-      const report = sim.restartTarget(T1);
-      const job = jobOfOneTask(1);
-      const outcome = scheduler.submit(job);
-      scheduler.acceptReport(report);
-      await addTargets(sim, scheduler);
-      const end = await waitForOutcome(sim.clock, outcome, 4_000);
-      expect(end.kind).toBe('completed');
-      expect(sim.concurrentRuns).toEqual([]);
-    }
-  });
-
-  it('keeps the run whose order is answered only after its report', async () => {
-    for (let seed = 1; seed <= 20; seed++) {
-      const sim = new TargetSimulation(seed, RUN_MS);
-      const scheduler = await startScheduler(sim, 1);
-      await sim.clock.advance(3_000);
-      const report = sim.restartTarget(T1);
-      sim.faults.lostAnswers = 1;
-      const job = jobOfOneTask(1);
-      const outcome = scheduler.submit(job);
-      await sim.clock.advance(10);
-      sim.faults.lostAnswers = 0;
-      scheduler.acceptReport(report);
-      await addTargets(sim, scheduler);
-      const end = await waitForOutcome(sim.clock, outcome, 4_000);
-      expect(end.kind).toBe('completed');
-      expect(sim.concurrentRuns).toEqual([]);
-    }
-  });
+  // The report shows the restart while the order is on its way, or while its
+  // answer is lost.
+  for (const lostAnswers of [0, 1]) {
+    it(`keeps the run that was ordered before its report, ${lostAnswers} of its answers lost`, async () => {
+      for (let seed = 1; seed <= 20; seed++) {
+        const sim = new TargetSimulation(seed, RUN_MS);
+        const scheduler = await startScheduler(sim, 1);
+        await sim.clock.advance(3_000);
+        const report = sim.restartTarget(T1);
+        sim.faults.lostAnswers = lostAnswers;
+        const outcome = scheduler.submit(jobOfOneTask(1));
+        await sim.clock.advance(10 * lostAnswers);
+        sim.faults.lostAnswers = 0;
+        scheduler.acceptReport(report);
+        await addTargets(sim, scheduler);
+        const end = await waitForOutcome(sim.clock, outcome, 4_000);
+        expect(end.kind).toBe('completed');
+        expect(sim.concurrentRuns).toEqual([]);
+      }
+    });
+  }
 
   // The new incarnation has no bar for a run that the earlier one has stopped.
   it('does not start an order of before the restart late, beside another run', async () => {
