Log who waits for a run, when a link was last heard, and why a hand-over failed

The lines of the incident could not tell its hypotheses apart: no line named the requester of a run, why it stopped waiting, when the last frame of a lost link came, or why the next scheduler did not take a job.

jobScheduled, jobRefused, taskPlaced and jobSentAgain name the requester (and the shard); linkDown has silentMs; new events submissionWithdrawn (7012) and handoverRefused (5014). The event and its fields stand before what all lines of a process share, since collected lines were cut at 200 characters.

No decision is changed. Tests: format_line.test.ts (fails before: the job id stood behind character 200).

--- a/packages/daemon/src/cluster_node/cluster_node.ts
+++ b/packages/daemon/src/cluster_node/cluster_node.ts
@@ -150,8 +150,8 @@
           }
           linkedPeers.add(peer);
         },
-        linkDown: (peer, reason) => {
-          log.emit('linkDown', {peer, reason});
+        linkDown: (peer, reason, silentMs) => {
+          log.emit('linkDown', {peer, silentMs: Math.round(silentMs), reason});
           if (!node().network.connectedPeers().includes(peer)) {
             linkedPeers.delete(peer);
             opts.onLinkDown(peer);
--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -152,7 +152,7 @@
       maxTargets: opts.maxTargets,
       shouldLink: (peer, state) =>
         this.linkPolicy.shouldLink(peer, state.schedulers),
-      onLinkDown: peer => this.schedulers.cancelAllOf(peer),
+      onLinkDown: peer => this.schedulers.cancelAllOf(peer, 'linkLost'),
       onIncarnationChanged: () => this.applyGrants(store.state),
     });
     const {membership, network} = this.node;
@@ -206,7 +206,7 @@
       Promise.resolve({quote: this.schedulers.quote(shard, job)}),
     );
     network.onNotice('cancelJob', (from, {jobId}) =>
-      this.schedulers.cancel(from, jobId),
+      this.schedulers.cancel(from, jobId, 'notice'),
     );
     network.onNotice('taskLost', (_from, loss) =>
       this.schedulers.recordTaskLoss(checkTaskLoss(loss)),
@@ -236,11 +236,15 @@
       requesters: () => this.schedulers.keptAliveRequesters(),
       lastHeardMs: requester => this.node.network.lastHeardMs(requester),
       onSilent: (requester, silentMs) => {
+        const heardMs = this.node.network.lastHeardMs(requester);
+        const heardMsAgo =
+          heardMs === undefined ? undefined : clock.now() - heardMs;
         log.emit('requesterSilent', {
           peer: requester,
           silentMs: Math.round(silentMs),
+          heardMsAgo: heardMsAgo && Math.round(heardMsAgo),
         });
-        this.schedulers.cancelAllOf(requester);
+        this.schedulers.cancelAllOf(requester, 'silent', heardMsAgo);
       },
     });
   }
@@ -259,7 +263,7 @@
       longestLeaseMs: longestLeaseMs(this.opts.timing),
       schedule: (shard, job) => this.schedulers.submit(self, shard, job),
       quote: (shard, job) => this.schedulers.quote(shard, job),
-      cancel: jobId => this.schedulers.cancel(self, jobId),
+      cancel: jobId => this.schedulers.cancel(self, jobId, 'notice'),
       recordRunTime: (kind, sample) =>
         this.schedulers.recordRunTime(kind, sample),
     });
--- a/packages/daemon/src/entry_instance/job_submitter.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.ts
@@ -429,6 +429,16 @@
         signal,
       );
       if (outcome.kind !== 'handedOver') {
+        if (placed && outcome.kind === 'refused') {
+          this.opts.log.emit('handoverRefused', {
+            jobId: job.id,
+            scheduler: grant.instanceId,
+            shard: scheduler.shard,
+            reason: outcome.reason,
+            token: grant.token,
+            waitedMs: Math.round(this.opts.clock.now() - startedMs),
+          });
+        }
         return placed && outcome.kind === 'refused'
           ? SCHEDULER_LOST_FAILURE
           : outcome;
--- a/packages/daemon/src/entry_instance/local_schedulers.test.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.test.ts
@@ -92,7 +92,7 @@
     const answer = fixture.submit(ENTRY, JOB);
     await fixture.clock.advance(30);
     expect(answer.outcome).toBeUndefined();
-    fixture.local.cancel(ENTRY, JOB.id);
+    fixture.local.cancel(ENTRY, JOB.id, 'notice');
     await fixture.clock.advance(0);
     expect(answer.outcome).toMatchObject({
       kind: 'refused',
@@ -108,7 +108,7 @@
     await fixture.clock.advance(30);
     expect(refused.outcome).toMatchObject({kind: 'refused'});
     expect(answer.outcome).toBeUndefined();
-    fixture.local.cancel(ENTRY, JOB.id);
+    fixture.local.cancel(ENTRY, JOB.id, 'notice');
     await fixture.clock.advance(0);
     expect(answer.outcome).toMatchObject({reason: 'cancelled'});
   });
@@ -119,7 +119,7 @@
     fixture.submit(ENTRY, jobOf(2, false));
     await fixture.clock.advance(30);
     expect(answer.outcome).toBeUndefined();
-    fixture.local.cancelAllOf(ENTRY);
+    fixture.local.cancelAllOf(ENTRY, 'linkLost');
     await fixture.clock.advance(0);
     expect(answer.outcome).toMatchObject({reason: 'cancelled'});
   });
@@ -128,8 +128,8 @@
     const fixture = new Fixture();
     const answer = fixture.submit(ENTRY, JOB);
     fixture.submit(OTHER_ENTRY, JOB);
-    fixture.local.cancel(ENTRY, JOB.id);
-    fixture.local.cancel(ENTRY, JOB.id);
+    fixture.local.cancel(ENTRY, JOB.id, 'notice');
+    fixture.local.cancel(ENTRY, JOB.id, 'notice');
     await fixture.clock.advance(30);
     expect(answer.outcome).toBeUndefined();
     fixture.local.cancel(OTHER_ENTRY, JOB.id);
@@ -141,7 +141,7 @@
     const fixture = new Fixture();
     fixture.submit(ENTRY, JOB);
     fixture.submit(OTHER_ENTRY, JOB);
-    fixture.local.cancel(ENTRY, JOB.id);
+    fixture.local.cancel(ENTRY, JOB.id, 'notice');
     const again = fixture.submit(ENTRY, JOB);
     fixture.local.cancel(OTHER_ENTRY, JOB.id);
     await fixture.clock.advance(30);
--- a/packages/daemon/src/entry_instance/local_schedulers.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.ts
@@ -20,6 +20,7 @@
   Scheduler,
 } from '@papayarun/scheduling';
 import type {LocalSchedulersOptions} from './local_schedulers_options.js';
+import type {WithdrawalCause} from './withdrawal_cause.js';
 
 const NOT_SCHEDULER: JobOutcome = {
   kind: 'refused',
@@ -125,7 +126,7 @@
     const submission: Submission = {requester, isKeptAlive};
     byJob.set(job.id, submissions.add(submission));
     try {
-      return await scheduler.submit(job);
+      return await scheduler.submit(job, requester);
     } finally {
       submissions.delete(submission);
       if (submissions.size === 0 && byJob.get(job.id) === submissions) {
@@ -157,14 +158,35 @@
   /**
    * Cancels all submissions of a job by an instance, and ends the job unless
    * another instance waits for it too.
+   *
+   * @param requester - The instance.
+   * @param jobId - The job.
+   * @param cause - Why it is cancelled, for the log.
+   * @param heardMsAgo - Time since the instance was last heard, in
+   *   milliseconds; undefined without a link to it.
    */
-  cancel(requester: InstanceId, jobId: JobId): void {
+  cancel(
+    requester: InstanceId,
+    jobId: JobId,
+    cause: WithdrawalCause,
+    heardMsAgo?: number,
+  ): void {
     for (const [shard, byJob] of this.submissions) {
       const submissions = byJob.get(jobId) ?? new Set();
       const cancelled = [...submissions].filter(
         submission => submission.requester === requester,
       );
       cancelled.forEach(submission => submissions.delete(submission));
+      if (cancelled.length > 0) {
+        this.opts.log.emit('submissionWithdrawn', {
+          jobId,
+          requester,
+          shard,
+          cause,
+          heardMsAgo: heardMsAgo && Math.round(heardMsAgo),
+          others: submissions.size,
+        });
+      }
       if (cancelled.length > 0 && submissions.size === 0) {
         this.schedulers.get(shard)?.cancel(jobId);
       }
@@ -186,8 +208,19 @@
     return requesters;
   }
 
-  /** Cancels all jobs of an instance that no other one waits for. */
-  cancelAllOf(requester: InstanceId): void {
+  /**
+   * Cancels all jobs of an instance that no other one waits for.
+   *
+   * @param requester - The instance.
+   * @param cause - Why they are cancelled, for the log.
+   * @param heardMsAgo - Time since the instance was last heard, in
+   *   milliseconds; undefined without a link to it.
+   */
+  cancelAllOf(
+    requester: InstanceId,
+    cause: WithdrawalCause,
+    heardMsAgo?: number,
+  ): void {
     const jobIds = new Set<JobId>();
     for (const byJob of this.submissions.values()) {
       for (const [jobId, submissions] of byJob) {
@@ -197,7 +230,7 @@
       }
     }
     for (const jobId of jobIds) {
-      this.cancel(requester, jobId);
+      this.cancel(requester, jobId, cause, heardMsAgo);
     }
   }
 
--- a/packages/daemon/src/entry_instance/silent_requesters.test.ts
+++ b/packages/daemon/src/entry_instance/silent_requesters.test.ts
@@ -70,7 +70,7 @@
       maxSilenceMs: MAX_SILENCE_MS,
       requesters: () => this.centro.keptAliveRequesters(),
       lastHeardMs: requester => this.lastHeardMs.get(requester),
-      onSilent: requester => this.centro.cancelAllOf(requester),
+      onSilent: requester => this.centro.cancelAllOf(requester, 'silent'),
     }).start();
   }
 
--- a/packages/daemon/src/event_logger/event_logger.ts
+++ b/packages/daemon/src/event_logger/event_logger.ts
@@ -2,6 +2,7 @@
 import {EVENT_CATALOGUE} from '@papayarun/protocol';
 import type Logger from 'bunyan';
 import bunyan from 'bunyan';
+import {formatLine} from './format_line.js';
 
 /**
  * Event log that writes the events of the catalogue as JSON lines, by default to
@@ -28,17 +29,20 @@
     fields: Readonly<Record<string, string>>,
     level: bunyan.LogLevelString,
     decisions: boolean,
-    output?: {write(line: string): void},
+    output: {write(line: string): void} = process.stdout,
   ): EventLogger {
     const logger = bunyan.createLogger({
       name: 'papayarund',
-      ...(output
-        ? {
-            streams: [
-              {level, stream: output as unknown as NodeJS.WritableStream},
-            ],
-          }
-        : {level}),
+      streams: [
+        {
+          level,
+          type: 'raw',
+          stream: {
+            write: (record: Record<string, unknown>) =>
+              output.write(formatLine(record)),
+          } as unknown as NodeJS.WritableStream,
+        },
+      ],
       ...fields,
     });
     return new EventLogger(logger, decisions);
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -197,8 +197,9 @@
         linkCheckMs: timing.peerTimeoutMs / LINK_CHECKS_PER_TIMEOUT,
         observer: {
           linkUp: peer => this.log.emit('linkUp', {peer}),
-          linkDown: (peer, reason) => {
-            this.log.emit('linkDown', {peer, reason});
+          linkDown: (peer, reason, silentMs) => {
+            const roundedMs = Math.round(silentMs);
+            this.log.emit('linkDown', {peer, silentMs: roundedMs, reason});
             this.router.cancelWorkOfPeer(peer);
           },
           linkRefused: reason => this.log.emit('linkRefused', {reason}),
--- a/packages/membership/src/ws_peer_network/link_observer.ts
+++ b/packages/membership/src/ws_peer_network/link_observer.ts
@@ -5,7 +5,8 @@
  */
 export interface LinkObserver {
   linkUp(peer: InstanceId): void;
-  linkDown(peer: InstanceId, reason: string): void;
+  /** A link was lost, `silentMs` milliseconds after its last frame. */
+  linkDown(peer: InstanceId, reason: string, silentMs: number): void;
   linkRefused(reason: string): void;
   sent(type: string, bytes: number): void;
 }
--- a/packages/membership/src/ws_peer_network/ws_peer_network.ts
+++ b/packages/membership/src/ws_peer_network/ws_peer_network.ts
@@ -324,7 +324,8 @@
       this.linkDownWaits.get(peer)?.abort();
       this.linkDownWaits.delete(peer);
     }
-    this.opts.observer.linkDown(peer, reason);
+    const silentMs = this.opts.clock.now() - link.lastHeardMs;
+    this.opts.observer.linkDown(peer, reason, silentMs);
   }
 
   private handleFrame(link: PeerLink, frame: Frame): void {
--- a/packages/protocol/src/event_log/event_catalogue.ts
+++ b/packages/protocol/src/event_log/event_catalogue.ts
@@ -253,6 +253,11 @@
     level: 'info',
     text: 'decision: job handed over to another scheduler',
   },
+  handoverRefused: {
+    number: 5014,
+    level: 'warn',
+    text: 'next scheduler did not take a job that was handed over; the event has the reason',
+  },
   targetAdded: {
     number: 6001,
     level: 'info',
@@ -375,6 +380,11 @@
     level: 'warn',
     text: 'decision: jobs of an instance cancelled, which was silent for too long while it waited for them',
   },
+  submissionWithdrawn: {
+    number: 7012,
+    level: 'info',
+    text: 'instance no longer waits for a job here; the event has the cause, and when it was last heard',
+  },
   jobUnsupported: {
     number: 7009,
     level: 'warn',
--- a/packages/scheduling/src/_lib/create_job_record.ts
+++ b/packages/scheduling/src/_lib/create_job_record.ts
@@ -42,6 +42,7 @@
   const record: JobRecord = {
     job,
     key: jobKey(job),
+    requester: undefined,
     sequence,
     receivedMs: nowMs,
     objectiveAtMs: nowMs + objectiveMs - job.ageMs,
--- a/packages/scheduling/src/_lib/job_record.ts
+++ b/packages/scheduling/src/_lib/job_record.ts
@@ -1,4 +1,5 @@
 import type {
+  InstanceId,
   JobOutcome,
   RunTimeSample,
   ScheduledJob,
@@ -14,6 +15,8 @@
   readonly job: ScheduledJob;
   /** Key of the record, which differs between the parts of a split job. */
   readonly key: string;
+  /** Instance that submitted the job first, if known. */
+  requester: InstanceId | undefined;
   /** Position in the order of arrival. */
   readonly sequence: number;
   readonly receivedMs: number;
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -1,4 +1,5 @@
 import type {
+  InstanceId,
   JobFailure,
   JobId,
   JobOutcome,
@@ -287,18 +288,20 @@
    * Runs a job, or refuses it at once.
    *
    * @param job - The job.
+   * @param requester - Instance that waits for the outcome, for the log.
    * @returns How it ended. A job that was submitted before gets the outcome of
    *   the first submission.
    */
-  submit(job: ScheduledJob): Promise<JobOutcome> {
+  submit(job: ScheduledJob, requester?: InstanceId): Promise<JobOutcome> {
     const key = jobKey(job);
     const present = this.jobs.get(key);
     if (present) {
-      this.logSentAgain(present, 'joined');
+      this.logSentAgain(present, 'joined', requester);
       return present.outcome;
     }
     const nowMs = this.opts.clock.now();
     const {record, slots} = this.prepareRecord(job, nowMs);
+    record.requester = requester;
     const isRecalled = this.recallEarlierRuns(record);
     if (record.tasks.every(task => task.state === 'done')) {
       return Promise.resolve({kind: 'completed', samples: []});
@@ -484,7 +487,7 @@
     }
     if (isRecalled) {
       record.hasStarted = true;
-      this.logSentAgain(record, 'recalled');
+      this.logSentAgain(record, 'recalled', record.requester);
     }
     return isRecalled;
   }
@@ -492,9 +495,12 @@
   private logSentAgain(
     {job, tasks}: JobRecord,
     how: 'joined' | 'recalled',
+    requester: InstanceId | undefined,
   ): void {
     this.opts.log.emit('jobSentAgain', {
       jobId: job.id,
+      requester,
+      shard: this.opts.shard,
       how,
       tasks: tasks.length,
       done: tasks.filter(task => task.state === 'done').length,
@@ -725,6 +731,7 @@
     if (placed.length > 0 && this.opts.log.decisionsEnabled) {
       this.opts.log.emit('taskPlaced', {
         jobId: record.job.id,
+        requester: record.requester,
         waitedMs: Math.round(nowMs - record.receivedMs),
         runs: placed.map(({task, runNumber, session}) => ({
           taskId: task.taskId,
@@ -1023,10 +1030,12 @@
       outcome.kind === 'refused' ? 'jobRefused' : 'jobScheduled',
       {
         jobId: job.id,
-        kind: job.kind,
+        requester: record.requester,
+        shard: this.opts.shard,
         outcome: outcome.kind,
         reason: 'reason' in outcome ? outcome.reason : undefined,
         tookMs: Math.round(tookMs),
+        kind: job.kind,
         objectiveMs: Math.round(record.objectiveAtMs - record.receivedMs),
         expectedMs: forecast && Math.round(forecast.endMs),
         freeSlots: forecast?.freeSlots,
