--- a/packages/daemon/src/entry_instance/job_submitter.test.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.test.ts
@@ -8,6 +8,8 @@
   ScheduledJob,
   ServiceId,
   ShardId,
+  TargetId,
+  TaskId,
 } from '@papayarun/protocol';
 import {
   dataCentreOfShard,
@@ -88,6 +90,8 @@
   loopLagMs = 0;
   /** Instance that schedules the shard of this data centre. */
   localInstance = SELF;
+  /** Grant of the scheduler that takes over the shard of this data centre. */
+  successor: ShardScheduler['grant'] | undefined;
   /** Shards of other schedulers. */
   others = ['serra'];
   scheduleLocally: (job: ScheduledJob) => Promise<JobOutcome> = () =>
@@ -155,7 +159,7 @@
       localSchedulersIn: () => [localScheduler()],
       isTakeoverRefusal: () => false,
       recordGrantChange: () => undefined,
-      waitForSuccessor: () => Promise.resolve(undefined),
+      waitForSuccessor: () => Promise.resolve(this.successor),
     };
     return finder as SchedulerFinder;
   }
@@ -564,3 +568,62 @@
     expect(answer.outcome).toEqual(COMPLETED);
   });
 });
+
+describe('A job that is handed over', () => {
+  const PLACED = {
+    taskId: `${jobOf(1).id}.0.0.0` as TaskId,
+    targetId: 'i-1' as TargetId,
+    run: 1,
+    isDone: false,
+  };
+  const HANDED_OVER: JobOutcome = {kind: 'handedOver', placed: [PLACED]};
+  const NOT_GRANTED_YET: JobOutcome = {...NOT_STARTED, reason: 'notScheduler'};
+
+  function createFixture(): Fixture {
+    const fixture = new Fixture();
+    fixture.successor = {...schedulerOf('centro', REMOTE).grant, token: 2};
+    fixture.scheduleLocally = () => Promise.resolve(HANDED_OVER);
+    return fixture;
+  }
+
+  // The instance that the log had granted the shard to had not applied the grant
+  // yet, and the caller got 504 while its tasks ran.
+  it('is taken over by a scheduler that learns of its grant only afterwards', async () => {
+    const fixture = createFixture();
+    let refusals = 3;
+    fixture.scheduleRemotely = () =>
+      Promise.resolve(refusals-- > 0 ? NOT_GRANTED_YET : COMPLETED);
+    const answer = fixture.submitAndRecord(jobOf(1));
+    await fixture.clock.advance(100);
+    expect(answer.outcome).toEqual(COMPLETED);
+    expect(fixture.remoteJobs.at(-1)!.placed).toEqual([PLACED]);
+  });
+
+  // The caller came back at once, to a scheduler that knew nothing of the runs.
+  it.each(['refuses', 'is not found'])(
+    'is not answered while its runs may go on when the next scheduler %s',
+    async how => {
+      const fixture = createFixture();
+      fixture.scheduleRemotely = () => Promise.resolve(NOT_GRANTED_YET);
+      if (how === 'is not found') {
+        fixture.successor = undefined;
+      }
+      const answer = fixture.submitAndRecord(jobOf(1));
+      await fixture.clock.advance(LEASE_MS - 1);
+      expect(answer.outcome).toBeUndefined();
+      await fixture.clock.advance(100);
+      expect(answer.outcome).toEqual({
+        kind: 'failed',
+        reason: 'schedulerLost',
+      });
+    },
+  );
+
+  it('is answered by its deadline when the next scheduler refuses', async () => {
+    const fixture = createFixture();
+    fixture.scheduleRemotely = () => Promise.resolve(NOT_GRANTED_YET);
+    const answer = fixture.submitAndRecord({...jobOf(1), leftMs: 400});
+    await fixture.clock.advance(500);
+    expect(answer.outcome).toMatchObject({kind: 'failed'});
+  });
+});
--- a/packages/daemon/src/entry_instance/silent_requesters.test.ts
+++ b/packages/daemon/src/entry_instance/silent_requesters.test.ts
@@ -13,7 +13,14 @@
 } from '@papayarun/protocol';
 import {SeededRandom} from '@papayarun/protocol';
 import type {TargetPort} from '@papayarun/scheduling';
-import {EmulatedTarget, SilentLog, VirtualClock} from '@papayarun/test_kit';
+import type {Clock} from '@papayarun/protocol';
+import {
+  EmulatedTarget,
+  Gate,
+  GatedClock,
+  SilentLog,
+  VirtualClock,
+} from '@papayarun/test_kit';
 import {describe, expect, it} from 'vitest';
 import {KeepAliveSender} from './keep_alive_sender.js';
 import {LocalSchedulers} from './local_schedulers.js';
@@ -53,6 +60,9 @@
 /** Schedulers of two data centres, each with targets of its own. */
 class Fixture {
   readonly clock = VirtualClock.create();
+  /** Closed while the process of the first data centre's scheduler is paused. */
+  private readonly gate = Gate.create();
+  private readonly gatedClock = GatedClock.create(this.clock, this.gate);
   readonly log = SilentLog.create();
   readonly concurrentRuns: TaskId[] = [];
   /** Time of the last message of each requester to the first data centre. */
@@ -63,10 +73,10 @@
   private readonly targets = new Map<TargetId, EmulatedTarget>();
 
   constructor() {
-    this.centro = this.createSchedulers('centro');
-    this.serra = this.createSchedulers('serra');
+    this.centro = this.createSchedulers('centro', this.gatedClock);
+    this.serra = this.createSchedulers('serra', this.clock);
     RequesterMonitor.create({
-      clock: this.clock,
+      clock: this.gatedClock,
       maxSilenceMs: MAX_SILENCE_MS,
       requesters: () => this.centro.keptAliveRequesters(),
       lastHeardMs: requester => this.lastHeardMs.get(requester),
@@ -89,7 +99,23 @@
     return answer;
   }
 
-  private createSchedulers(dataCentre: string): LocalSchedulers {
+  /** Pauses the first data centre's scheduler for the first part of each period. */
+  async pauseRepeatedly(pausedMs: number, periodMs: number): Promise<void> {
+    for (;;) {
+      this.gate.close();
+      await this.clock.sleep(pausedMs);
+      this.gate.open();
+      await this.clock.sleep(periodMs - pausedMs);
+    }
+  }
+
+  /** Delivers a message to the first data centre's scheduler. */
+  async hear(requester: InstanceId): Promise<void> {
+    await this.gate.pass();
+    this.lastHeardMs.set(requester, this.clock.now());
+  }
+
+  private createSchedulers(dataCentre: string, clock: Clock): LocalSchedulers {
     const shard = dataCentre as ShardId;
     const ignore = (): void => undefined;
     const self = `${dataCentre}-1:7720` as InstanceId;
@@ -98,10 +124,10 @@
     const schedulers = LocalSchedulers.create({
       self,
       dataCentre: dataCentre as DataCentreId,
-      targetClient: this.port(),
+      targetClient: this.port(clock),
       timing: {maxLeaseMs: MAX_LEASE_MS, stopMs: STOP_MS, reportMs: 0},
       store: store as unknown as LocalSchedulersOptions['store'],
-      clock: this.clock,
+      clock,
       log: this.log,
       metrics: {
         recordJob: ignore,
@@ -140,7 +166,8 @@
     return schedulers;
   }
 
-  private port(): TargetPort {
+  /** Port whose answers are read by a process with the given clock. */
+  private port(clock: Clock): TargetPort {
     return {
       start: async (to, order) => {
         await this.clock.sleep(1);
@@ -150,11 +177,15 @@
         }
         this.starts++;
         const target = this.targets.get(to.targetId)!;
-        return target.start(taskId, run, NEEDS.cores, token, leaseEndMs);
+        const res = target.start(taskId, run, NEEDS.cores, token, leaseEndMs);
+        await clock.sleep(1);
+        return res;
       },
       stop: async (to, {taskId, run, token}) => {
         await this.clock.sleep(1);
-        return this.targets.get(to.targetId)!.stop(taskId, run, token);
+        const res = this.targets.get(to.targetId)!.stop(taskId, run, token);
+        await clock.sleep(1);
+        return res;
       },
       hold: async (to, {token, lastSeenEnd, leaseEndMs, waitMs}) => {
         const target = this.targets.get(to.targetId)!;
@@ -164,6 +195,7 @@
           await this.clock.sleep(2);
         } while (this.clock.now() < endMs && !target.hasEndAfter(lastSeenEnd));
         const res = target.hold(token, lastSeenEnd, leaseEndMs)!;
+        await clock.sleep(1);
         return {kind: 'held', bornMs: 1, ...res};
       },
       closeConnections: () => undefined,
@@ -200,6 +232,41 @@
   });
 });
 
+describe('A job whose entry falls silent beside a scheduler that is slow', () => {
+  // A scheduler that stood still for most of the time saw the silence late, but
+  // went on to renew the leases.
+  it.each([
+    {pausedMs: 120, periodMs: 180},
+    {pausedMs: 260, periodMs: 320},
+    {pausedMs: 500, periodMs: 560},
+    {pausedMs: 700, periodMs: 760},
+  ])(
+    'does not run on when its caller may send it again: paused $pausedMs of $periodMs ms',
+    async ({pausedMs, periodMs}) => {
+      for (let phaseMs = 0; phaseMs < periodMs; phaseMs += 20) {
+        const fixture = new Fixture();
+        await fixture.clock.advance(20);
+        fixture.submit(ENTRY);
+        void fixture.pauseRepeatedly(pausedMs, periodMs);
+        for (let ms = 0; ms < 2 * periodMs + phaseMs; ms += 10) {
+          if (ms % 150 === 0) {
+            void fixture.hear(ENTRY);
+          }
+          await fixture.clock.advance(10);
+        }
+        void fixture.hear(ENTRY);
+        await fixture.clock.advance(RESEND_MS);
+        const earlierStarts = fixture.starts;
+        expect(earlierStarts).toBeGreaterThanOrEqual(4);
+        fixture.submit(OTHER_ENTRY, fixture.serra);
+        await fixture.clock.advance(1_000);
+        expect(fixture.starts).toBe(earlierStarts + 4);
+        expect(fixture.concurrentRuns, `phase ${phaseMs} ms`).toEqual([]);
+      }
+    },
+  );
+});
+
 describe('A job whose entry is slow', () => {
   // Of the messages that an entry sends each 300 ms, one or two may come late.
   it('runs on while something arrives of it in time', async () => {
