Hold the answer of a handed-over job while its runs may go on

Cause: submitWithHandover took a refusal of the successor for final, and waited for no lease. Now it asks again until the grant is applied there, for as long as the runs may live, and a 504 after a hand-over waits until they have ended, or for the deadline.

Red before: the three tests of 'A job that is handed over'.

--- a/packages/daemon/src/entry_instance/job_submitter.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.ts
@@ -5,10 +5,12 @@
   JobOutcome,
   JobQuote,
   JobRefusal,
+  PlacedTask,
   ScheduledJob,
   ShardId,
 } from '@papayarun/protocol';
 import {EMPTY_QUOTE, PeerCallError} from '@papayarun/protocol';
+import type {SchedulerGrant} from '@papayarun/releases';
 import {splitJob} from '@papayarun/scheduling';
 import type {JobSubmitterOptions} from './job_submitter_options.js';
 import {selectQuoted} from './select_quoted.js';
@@ -79,7 +81,7 @@
   private readonly quoteBudget = RetryBudget.create(QUOTES_PER_JOB);
   /** Monotonic time until which a scheduler isn't asked for another quote. */
   private readonly quoteBackoffUntilMs = new Map<InstanceId, number>();
-  /** Monotonic time by which the runs of lost schedulers end, by job. */
+  /** Monotonic time by which runs without a scheduler have ended, by job. */
   private readonly lostRunsEndMs = new Map<JobId, number>();
   /** A scheduler knows the instance that waits for a job, not its callers. */
   private readonly submissions = WaitingSubmissions.create();
@@ -271,10 +273,8 @@
       }
       // A call that was held up may arrive only now, and start the job.
       this.withdraw(instanceId, job);
-      this.lostRunsEndMs.set(
-        job.id,
-        Math.min(latestMs, clock.now() + longestLeaseMs),
-      );
+      const runsEndMs = Math.min(latestMs, clock.now() + longestLeaseMs);
+      this.recordLostRuns(job.id, runsEndMs);
       return SCHEDULER_LOST_FAILURE;
     }
   }
@@ -418,49 +418,91 @@
     job: ScheduledJob,
     signal: AbortSignal,
   ): Promise<Exclude<JobOutcome, {kind: 'handedOver'}>> {
-    const startedMs = this.opts.clock.now();
+    const {clock, log} = this.opts;
+    const startedMs = clock.now();
     let {grant} = scheduler;
-    let placed = job.placed;
+    let handover: Handover | undefined;
     for (;;) {
-      const currentJob = {...this.withElapsedTime(job, startedMs), placed};
+      const currentJob = this.withElapsedTime(job, startedMs);
       const outcome = await this.submitTo(
         {...scheduler, grant},
-        currentJob,
+        {...currentJob, placed: handover?.placed ?? job.placed},
         signal,
       );
-      if (outcome.kind !== 'handedOver') {
-        if (placed && outcome.kind === 'refused') {
-          this.opts.log.emit('handoverRefused', {
-            jobId: job.id,
-            scheduler: grant.instanceId,
-            shard: scheduler.shard,
-            reason: outcome.reason,
-            token: grant.token,
-            waitedMs: Math.round(this.opts.clock.now() - startedMs),
-          });
-        }
-        return placed && outcome.kind === 'refused'
-          ? SCHEDULER_LOST_FAILURE
-          : outcome;
+      if (outcome.kind === 'handedOver') {
+        handover = this.recordHandover(job, grant, outcome.placed, startedMs);
+      } else if (handover && outcome.kind === 'refused') {
+        log.emit('handoverRefused', {
+          jobId: job.id,
+          scheduler: grant.instanceId,
+          shard: scheduler.shard,
+          reason: outcome.reason,
+          token: grant.token,
+          waitedMs: Math.round(clock.now() - handover.atMs),
+        });
+        // Its grant may be in force here already, but not there yet.
+        await clock.sleep(TAKEOVER_RETRY_DELAY_MS, signal);
+      } else {
+        return outcome;
       }
-      placed = outcome.placed;
-      const successor = await this.opts.finder.waitForSuccessor(
-        scheduler.shard,
-        grant,
-        signal,
-      );
+      const successor =
+        clock.now() < handover.runsEndMs && !signal.aborted
+          ? await this.opts.finder.waitForSuccessor(
+              scheduler.shard,
+              handover.from,
+              signal,
+            )
+          : undefined;
       if (!successor) {
         return SCHEDULER_LOST_FAILURE;
       }
-      this.opts.log.emit('jobHandedOver', {
-        jobId: job.id,
-        to: successor.instanceId,
-        token: successor.token,
-        placed: placed.length,
-      });
+      if (successor.token !== grant.token) {
+        log.emit('jobHandedOver', {
+          jobId: job.id,
+          to: successor.instanceId,
+          token: successor.token,
+          placed: handover.placed.length,
+        });
+      }
       grant = successor;
     }
   }
+
+  /** Records that the runs of a job go on without a scheduler. */
+  private recordHandover(
+    job: ScheduledJob,
+    from: SchedulerGrant,
+    placed: readonly PlacedTask[],
+    startedMs: number,
+  ): Handover {
+    const atMs = this.opts.clock.now();
+    const runsEndMs = Math.min(
+      atMs + this.opts.longestLeaseMs,
+      startedMs + job.leftMs,
+    );
+    this.recordLostRuns(job.id, runsEndMs);
+    return {from, placed, atMs, runsEndMs};
+  }
+
+  /** Records until when runs of a job may go on that no scheduler has. */
+  private recordLostRuns(jobId: JobId, endMs: number): void {
+    const knownMs = this.lostRunsEndMs.get(jobId) ?? -Infinity;
+    this.lostRunsEndMs.set(jobId, Math.max(knownMs, endMs));
+  }
+}
+
+/** Hand-over of a job by a scheduler that has lost its grant. */
+interface Handover {
+  /** Grant that was lost. */
+  readonly from: SchedulerGrant;
+  readonly placed: readonly PlacedTask[];
+  /** Monotonic time of the hand-over, in milliseconds. */
+  readonly atMs: number;
+  /**
+   * Monotonic time by which the runs have ended unless another scheduler takes
+   * them over, or at which the caller stops waiting; in milliseconds.
+   */
+  readonly runsEndMs: number;
 }
 
 /** Whether a scheduler refused a job since it has nothing to run it on. */
