Handle nothing of a peer before the parts that it needs are there

Cause: the instance listened while its log was still being read from the disk. A heartbeat in that time built the client of the log without a replica, and it was kept. Now a network answers no handshake and dials nobody before its start, and ClusterNode opens the replica and builds the client before it exists itself, so that neither can be missing.

Tests that used a network without its start now start it; what they check is unchanged.

--- a/packages/daemon/src/cluster_node/cluster_node.test.ts
+++ b/packages/daemon/src/cluster_node/cluster_node.test.ts
@@ -58,6 +58,7 @@
       fixture.events.push('call');
       return new Promise(() => undefined);
     });
+    fixture.node.start();
     return fixture;
   }
 
@@ -91,6 +92,7 @@
       },
       {host: HOST, port: 0},
     );
+    network.start();
     this.links.push(network);
     const calls = this.countCalls();
     network.addDiscoveredPeer({
--- a/packages/daemon/src/cluster_node/cluster_node.ts
+++ b/packages/daemon/src/cluster_node/cluster_node.ts
@@ -15,6 +15,11 @@
 /** Number of checks for silent links in the time that makes one silent. */
 const LINK_CHECKS_PER_TIMEOUT = 4;
 const NO_REPLICAS: ReplicaSet = {voters: [], learners: []};
+type OpenReplica = (
+  network: WsPeerNetwork,
+  discovery: PeerDiscovery,
+) => Promise<Replica>;
+
 const EMPTY_DIGEST = {own: {}, dataCentre: {}};
 
 /**
@@ -23,31 +28,38 @@
  */
 export class ClusterNode {
   private constructor(
-    private readonly opts: ClusterNodeOptions,
+    opts: ClusterNodeOptions,
     readonly network: WsPeerNetwork,
     readonly membership: Membership,
     readonly discovery: PeerDiscovery,
+    /** Client of the replicated log. */
+    readonly control: ControlClient,
+    /** Replica of the log on state instances. */
+    readonly replica: Replica | undefined,
   ) {
     this.loopLag = LoopLagMeter.create(opts.clock, opts.log);
   }
 
   /** Lag of the event loop of this process. */
   readonly loopLag: LoopLagMeter;
-  /** Replica of the log on state instances; to be set before `start`. */
-  replica: Replica | undefined;
-  private cachedControlClient: ControlClient | undefined;
 
   /**
-   * Creates a node and opens its listener for peers.
+   * Creates a node and opens its listener for peers, of whom nothing is handled
+   * before `start`.
    *
    * @param opts - Settings, clock, log, store and callbacks.
+   * @param openReplica - Opens the replica of the log; absent on instances without
+   *   one.
    * @returns The node, not started.
-   * @throws Error when the address can't be bound.
+   * @throws Error when the address can't be bound, or what `openReplica` throws.
    * @example
    * const node = await ClusterNode.create(opts);
    * node.start();
    */
-  static async create(opts: ClusterNodeOptions): Promise<ClusterNode> {
+  static async create(
+    opts: ClusterNodeOptions,
+    openReplica?: OpenReplica,
+  ): Promise<ClusterNode> {
     const network = await openNetwork(opts, () => node);
     const membership = createMembership(opts, network, () => node);
     const discovery = PeerDiscovery.create({
@@ -59,7 +71,25 @@
       logMembers: () => logMembersOf(node.replica),
       shouldLink: peer => opts.shouldLink(peer, opts.store.state),
     });
-    const node = new ClusterNode(opts, network, membership, discovery);
+    const replica = await openReplica?.(network, discovery);
+    const control = ControlClient.create({
+      network,
+      clock: opts.clock,
+      store: opts.store,
+      replica,
+      get replicaInstances() {
+        return discovery.stateInstances();
+      },
+      leaderTimeoutMs: LEADER_TIMEOUT_MS,
+    });
+    const node = new ClusterNode(
+      opts,
+      network,
+      membership,
+      discovery,
+      control,
+      replica,
+    );
     opts.store.onChange((before, after) => {
       // Entries learn of a change from state instances, and from each other at
       // the usual interval.
@@ -73,22 +103,6 @@
     return node;
   }
 
-  /** Client of the replicated log. */
-  get control(): ControlClient {
-    const {opts, discovery} = this;
-    this.cachedControlClient ??= ControlClient.create({
-      network: this.network,
-      clock: opts.clock,
-      store: opts.store,
-      replica: this.replica,
-      get replicaInstances() {
-        return discovery.stateInstances();
-      },
-      leaderTimeoutMs: LEADER_TIMEOUT_MS,
-    });
-    return this.cachedControlClient;
-  }
-
   /** Values of the gauges that both kinds of instances export. */
   gauges(): Record<string, number> {
     return {
@@ -100,7 +114,6 @@
 
   start(): void {
     this.loopLag.start();
-    void this.control;
     this.network.start();
     this.membership.start();
     this.replica?.start();
--- a/packages/daemon/src/control_client/control_client.ts
+++ b/packages/daemon/src/control_client/control_client.ts
@@ -159,12 +159,13 @@
     instance: InstanceId,
     command: Uint8Array,
   ): Promise<ProposeCall['res']> {
-    if (instance === this.opts.network.self) {
-      return this.opts.replica!.propose(command);
+    const {network, replica} = this.opts;
+    if (instance === network.self) {
+      return (await replica?.propose(command)) ?? {kind: 'notLeader'};
     }
     try {
       const opts = {timeoutMs: PROPOSE_TIMEOUT_MS};
-      return await this.opts.network.call(instance, 'propose', {command}, opts);
+      return await network.call(instance, 'propose', {command}, opts);
     } catch (err) {
       return err instanceof PeerCallError && err.mayHaveBeenSent
         ? {kind: 'unknown', reason: err.message}
@@ -172,17 +173,14 @@
     }
   }
 
-  private requestReadIndex(
+  private async requestReadIndex(
     instance: InstanceId,
   ): ReturnType<Replica['readIndex']> {
-    if (instance === this.opts.network.self) {
-      return this.opts.replica!.readIndex();
+    const {network, replica} = this.opts;
+    if (instance === network.self) {
+      return (await replica?.readIndex()) ?? {kind: 'notLeader'};
     }
-    return this.opts.network.call(
-      instance,
-      'readIndex',
-      {},
-      {timeoutMs: QUERY_TIMEOUT_MS},
-    );
+    const opts = {timeoutMs: QUERY_TIMEOUT_MS};
+    return network.call(instance, 'readIndex', {}, opts);
   }
 }
--- a/packages/daemon/src/state_instance/state_instance.ts
+++ b/packages/daemon/src/state_instance/state_instance.ts
@@ -3,6 +3,7 @@
   Heartbeat,
   InstanceId,
   KnownInstance,
+  PeerNetwork,
   ReplicaId,
   TargetReport,
 } from '@papayarun/protocol';
@@ -11,6 +12,7 @@
 import {ControlStore} from '@papayarun/releases';
 import {Replica} from '@papayarun/replication';
 import {ClusterNode} from '../cluster_node/cluster_node.js';
+import type {PeerDiscovery} from '../cluster_node/peer_discovery.js';
 import {formCluster} from '../form_cluster/form_cluster.js';
 import {SchedulerGranter} from './scheduler_granter.js';
 import type {StateInstanceOptions} from './state_instance_options.js';
@@ -166,36 +168,22 @@
 
   private async open(): Promise<void> {
     const {opts, store} = this;
-    this.node = await ClusterNode.create({
-      ...opts,
-      store,
-      state: () => this.state,
-      maxTargets: 0,
-      shouldLink: (peer: KnownInstance) => peer.role === 'state',
-      onLinkDown: () => undefined,
-      onIncarnationChanged: () => undefined,
-    });
-    const {network, membership, discovery} = this.node;
-    this.replica = await Replica.create({
-      network,
-      clock: opts.clock,
-      random: opts.random,
-      disk: opts.disk,
-      log: opts.log,
-      get replicaInstances() {
-        return discovery.stateInstances();
+    this.node = await ClusterNode.create(
+      {
+        ...opts,
+        store,
+        state: () => this.state,
+        maxTargets: 0,
+        shouldLink: (peer: KnownInstance) => peer.role === 'state',
+        onLinkDown: () => undefined,
+        onIncarnationChanged: () => undefined,
       },
-      electionTimeoutMs: opts.cfg.electionTimeoutMs,
-      compactAfterEntries: COMPACT_AFTER_ENTRIES,
-      compactAfterBytes: COMPACT_AFTER_BYTES,
-      makeReplicaId: () => randomUUID() as ReplicaId,
-      apply: (index, command) => store.apply(index, command),
-      restore: (index, state) => store.restore(index, state),
-      problemOf: command => store.problemOf(command),
-      serialize: () => store.serialize(),
-      stateIndex: () => store.index,
-    });
-    this.node.replica = this.replica;
+      async (network, discovery) => {
+        this.replica = await this.openReplica(network, discovery);
+        return this.replica;
+      },
+    );
+    const {network, membership, discovery} = this.node;
     this.targetDirectory = TargetDirectory.create({
       network,
       clock: opts.clock,
@@ -225,6 +213,32 @@
     });
   }
 
+  private openReplica(
+    network: PeerNetwork,
+    discovery: PeerDiscovery,
+  ): Promise<Replica> {
+    const {opts, store} = this;
+    return Replica.create({
+      network,
+      clock: opts.clock,
+      random: opts.random,
+      disk: opts.disk,
+      log: opts.log,
+      get replicaInstances() {
+        return discovery.stateInstances();
+      },
+      electionTimeoutMs: opts.cfg.electionTimeoutMs,
+      compactAfterEntries: COMPACT_AFTER_ENTRIES,
+      compactAfterBytes: COMPACT_AFTER_BYTES,
+      makeReplicaId: () => randomUUID() as ReplicaId,
+      apply: (index, command) => store.apply(index, command),
+      restore: (index, state) => store.restore(index, state),
+      problemOf: command => store.problemOf(command),
+      serialize: () => store.serialize(),
+      stateIndex: () => store.index,
+    });
+  }
+
   private start(): void {
     this.node.start();
     this.granter.start();
--- a/packages/membership/src/ws_peer_network/ws_peer_network.test.ts
+++ b/packages/membership/src/ws_peer_network/ws_peer_network.test.ts
@@ -35,6 +35,8 @@
 }
 
 async function connect(from: WsPeerNetwork, to: WsPeerNetwork): Promise<void> {
+  from.start();
+  to.start();
   from.addDiscoveredPeer({
     instanceId: to.self,
     dataCentre: '' as never,
--- a/packages/membership/src/ws_peer_network/ws_peer_network.ts
+++ b/packages/membership/src/ws_peer_network/ws_peer_network.ts
@@ -36,6 +36,8 @@
   private readonly callHandlers = new Map<string, CallHandler>();
   private readonly noticeHandlers = new Map<string, NoticeHandler>();
   private readonly stopping = new AbortController();
+  /** Aborted by `start`. */
+  private readonly starting = new AbortController();
   /** Aborted when the link to a peer is lost, for those that wait for it. */
   private readonly linkDownWaits = new Map<InstanceId, AbortController>();
   /** Peers that were discovered at run time, with the controller that ends dialling. */
@@ -81,8 +83,13 @@
     return (this.server.address() as AddressInfo).port;
   }
 
-  /** Starts to dial the peers. Call it after all handlers are set. */
+  /**
+   * Starts to dial the peers and to answer those that have dialled. Nothing of a
+   * peer is handled before. Call it after all handlers are set and all parts that
+   * they need are there.
+   */
   start(): void {
+    this.starting.abort();
     for (const peer of this.opts.peers) {
       if (this.self < peer.instanceId) {
         void this.dialLoop(peer, this.stopping.signal);
@@ -122,6 +129,7 @@
   /** Closes all links and stops listening. */
   async stop(): Promise<void> {
     this.stopping.abort();
+    this.starting.abort();
     for (const peer of [...this.discoveredPeers.keys()]) {
       this.removeDiscoveredPeer(peer);
     }
@@ -222,6 +230,7 @@
     peer: PeerAddress,
     stopSignal: AbortSignal,
   ): Promise<void> {
+    await aborted(this.starting.signal);
     let delayMs = MIN_RECONNECT_DELAY_MS;
     while (!stopSignal.aborted) {
       const startedMs = this.opts.clock.now();
@@ -253,10 +262,8 @@
     this.linkDownWaits.set(peer, wait);
     const stop = (): void => wait.abort();
     stopSignal.addEventListener('abort', stop, {once: true});
-    if (!wait.signal.aborted && !stopSignal.aborted) {
-      await new Promise<void>(resolve =>
-        wait.signal.addEventListener('abort', () => resolve(), {once: true}),
-      );
+    if (!stopSignal.aborted) {
+      await aborted(wait.signal);
     }
     stopSignal.removeEventListener('abort', stop);
   }
@@ -287,6 +294,7 @@
     const inbox = MessageInbox.create(socket);
     socket.on('error', () => socket.terminate());
     try {
+      await aborted(this.starting.signal);
       const peer = await handshake(
         socket,
         inbox,
@@ -380,3 +388,12 @@
     }
   }
 }
+
+/** Resolves once a signal is aborted. */
+async function aborted(signal: AbortSignal): Promise<void> {
+  if (!signal.aborted) {
+    await new Promise<void>(resolve =>
+      signal.addEventListener('abort', () => resolve(), {once: true}),
+    );
+  }
+}
