Keep the schedulers of a data centre that is heard again after a cut

Jobs in progress were answered 504 or late.

Cause: the leader waits for the heartbeats of silent holders only after its own election. Now it does from the first heartbeat of a data centre of which it had heard nobody. A scheduler that dies while others of its data centre are heard is replaced as before.

--- a/packages/daemon/src/state_instance/scheduler_granter.ts
+++ b/packages/daemon/src/state_instance/scheduler_granter.ts
@@ -1,3 +1,4 @@
+import type {DataCentreId} from '@papayarun/protocol';
 import {entryCandidates} from './entry_candidates.js';
 import type {EntryCandidate} from './entry_candidate.js';
 import {planGrants} from './plan_grants.js';
@@ -13,7 +14,11 @@
  */
 export class SchedulerGranter {
   private readonly stopping = new AbortController();
-  private leaderSinceMs: number | undefined;
+  /**
+   * Monotonic time since which an entry instance of a data centre has been heard
+   * without a break while the local replica led.
+   */
+  private readonly heardSinceMs = new Map<DataCentreId, number>();
 
   private constructor(private readonly opts: SchedulerGranterOptions) {}
 
@@ -42,20 +47,28 @@
     while (!this.stopping.signal.aborted) {
       await clock.sleep(CHECK_INTERVAL_MS, this.stopping.signal);
       if (!replica.isLeader) {
-        this.leaderSinceMs = undefined;
+        this.heardSinceMs.clear();
         continue;
       }
-      this.leaderSinceMs ??= clock.now();
       await this.checkAllDataCentres();
     }
   }
 
   private async checkAllDataCentres(): Promise<void> {
     const {membership, clock, heartbeatGraceMs, store} = this.opts;
-    const mayReplaceSilent =
-      clock.now() - (this.leaderSinceMs ?? Infinity) > heartbeatGraceMs;
+    const byDataCentre = entryCandidates(membership);
+    for (const dataCentre of this.heardSinceMs.keys()) {
+      if (!byDataCentre.has(dataCentre)) {
+        this.heardSinceMs.delete(dataCentre);
+      }
+    }
+    const nowMs = clock.now();
     const grants: Array<Promise<void>> = [];
-    for (const [dataCentre, candidates] of entryCandidates(membership)) {
+    for (const [dataCentre, candidates] of byDataCentre) {
+      const sinceMs = this.heardSinceMs.get(dataCentre) ?? nowMs;
+      this.heardSinceMs.set(dataCentre, sinceMs);
+      // After a cut, the instances of a data centre are heard one by one.
+      const mayReplaceSilent = nowMs - sinceMs > heartbeatGraceMs;
       const planned = planGrants(
         store.state,
         dataCentre,
--- a/packages/daemon/src/state_instance/scheduler_granter_options.ts
+++ b/packages/daemon/src/state_instance/scheduler_granter_options.ts
@@ -15,8 +15,8 @@
   readonly membership: Membership;
   readonly control: () => ControlClient;
   /**
-   * Time that a new leader waits for heartbeats before it replaces a holder that
-   * it hasn't heard from, in milliseconds.
+   * Time from the first heartbeat of a data centre's entry instances in which a
+   * holder there that isn't heard is not replaced, in milliseconds.
    */
   readonly heartbeatGraceMs: number;
 }
