--- a/packages/daemon/src/entry_instance/silent_requesters.test.ts
+++ b/packages/daemon/src/entry_instance/silent_requesters.test.ts
@@ -21,12 +21,15 @@
   SilentLog,
   VirtualClock,
 } from '@papayarun/test_kit';
+import * as fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {KeepAliveSender} from './keep_alive_sender.js';
 import {LocalSchedulers} from './local_schedulers.js';
 import type {LocalSchedulersOptions} from './local_schedulers_options.js';
 import {RequesterMonitor} from './requester_monitor.js';
 
+const RUNS = Number(process.env.PAPAYARUN_RUNS ?? 60);
+const SEED = Number(process.env.PAPAYARUN_SEED ?? 3);
 const ENTRY = 'centro-2:7720' as InstanceId;
 const OTHER_ENTRY = 'serra-1:7720' as InstanceId;
 const BOOT = 'b' as BootId;
@@ -115,12 +118,24 @@
   }
 
   /** Pauses the first data centre's scheduler for the first part of each period. */
-  async pauseRepeatedly(pausedMs: number, periodMs: number): Promise<void> {
+  pauseRepeatedly(pausedMs: number, periodMs: number): Promise<void> {
+    return this.pauseInTurn([{pausedMs, awakeMs: periodMs - pausedMs}]);
+  }
+
+  /** Pauses the first data centre's scheduler again and again. */
+  async pauseInTurn(
+    schedule: ReadonlyArray<{
+      readonly pausedMs: number;
+      readonly awakeMs: number;
+    }>,
+  ): Promise<void> {
     for (;;) {
-      this.gate.close();
-      await this.clock.sleep(pausedMs);
-      this.gate.open();
-      await this.clock.sleep(periodMs - pausedMs);
+      for (const {pausedMs, awakeMs} of schedule) {
+        this.gate.close();
+        await this.clock.sleep(pausedMs);
+        this.gate.open();
+        await this.clock.sleep(awakeMs);
+      }
     }
   }
 
@@ -333,6 +348,45 @@
   );
 });
 
+describe('Random pauses of a scheduler', () => {
+  const pauses = fc.array(
+    fc.record({
+      pausedMs: fc.integer({min: 0, max: 850}),
+      awakeMs: fc.integer({min: 5, max: 300}),
+    }),
+    {minLength: 1, maxLength: 8},
+  );
+
+  it(`leave no run when a caller may send its job again, seed ${SEED}`, async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        pauses,
+        fc.integer({min: 0, max: 1_500}),
+        fc.boolean(),
+        async (schedule, silentAtMs, losesStops) => {
+          const fixture = new Fixture();
+          fixture.losesStops = losesStops;
+          await fixture.clock.advance(20);
+          fixture.submit(ENTRY);
+          void fixture.pauseInTurn(schedule);
+          for (let ms = 0; ms < silentAtMs; ms += 30) {
+            if (ms % 150 === 0) {
+              void fixture.hear(ENTRY);
+            }
+            await fixture.clock.advance(30);
+          }
+          void fixture.hear(ENTRY);
+          await fixture.clock.advance(RESEND_MS);
+          fixture.submit(OTHER_ENTRY, fixture.serra);
+          await fixture.clock.advance(1_500);
+          expect(fixture.concurrentRuns).toEqual([]);
+        },
+      ),
+      {seed: SEED, numRuns: RUNS},
+    );
+  });
+});
+
 describe('A job whose entry is slow', () => {
   // Of the messages that an entry sends each 300 ms, one may come late.
   it('runs on while something arrives of it in time', async () => {
