Back off between the attempts to hand a job over

The delay between two attempts now doubles from 20 to 160 ms.

Red before: 'is sent to a scheduler that refuses it a few times only' (54 calls).

--- a/packages/daemon/src/entry_instance/job_submitter.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.ts
@@ -29,6 +29,11 @@
 const CANCEL_INTERVAL_MS = 100;
 /** Delay between attempts while a scheduler takes over, in milliseconds. */
 const TAKEOVER_RETRY_DELAY_MS = 20;
+/**
+ * Longest delay between attempts to hand a job over, in milliseconds. The delay
+ * doubles, since a scheduler that is slow to take over refuses many jobs.
+ */
+const MAX_HANDOVER_RETRY_DELAY_MS = 160;
 /**
  * Longest wait of a new job for a scheduler that takes over, in milliseconds.
  * Covers a leader election and a scheduler grant. A refusal instead of the wait
@@ -422,6 +427,7 @@
     const startedMs = clock.now();
     let {grant} = scheduler;
     let handover: Handover | undefined;
+    let retryDelayMs = TAKEOVER_RETRY_DELAY_MS;
     for (;;) {
       const currentJob = this.withElapsedTime(job, startedMs);
       const outcome = await this.submitTo(
@@ -441,7 +447,8 @@
           waitedMs: Math.round(clock.now() - handover.atMs),
         });
         // Its grant may be in force here already, but not there yet.
-        await clock.sleep(TAKEOVER_RETRY_DELAY_MS, signal);
+        await clock.sleep(retryDelayMs, signal);
+        retryDelayMs = Math.min(2 * retryDelayMs, MAX_HANDOVER_RETRY_DELAY_MS);
       } else {
         return outcome;
       }
