Ask who is heard only where the lease of a target may be short

Each placement asked for the requesters of all runs on all targets. Whether a lease is short is decided from what was known at its last renewal, and asked anew only where that is nearly over. No decision is changed.

--- a/packages/scheduling/src/_lib/target_session.ts
+++ b/packages/scheduling/src/_lib/target_session.ts
@@ -198,8 +198,15 @@
    * has been heard for a while.
    */
   get isLeaseShort(): boolean {
-    const leftMs = this.leaseLimitMs() - this.host.clock.now();
-    return leftMs < MIN_LEASE_SHARE * this.host.timing.maxLeaseMs;
+    const {clock, timing} = this.host;
+    const limitMs = clock.now() + MIN_LEASE_SHARE * timing.maxLeaseMs;
+    // What was known at the last renewal is enough most of the time.
+    for (const {permittedUntilMs} of this.runs.values()) {
+      if (permittedUntilMs < limitMs) {
+        return this.leaseLimitMs() < limitMs;
+      }
+    }
+    return false;
   }
 
   /** Whether a lease that is granted now is about as long as it may be. */
