Name the jobs in flight of an entry to state instances as well

Two runs of a task at the same time when an entry was killed together with its two backups, and its callers came back at another entry within milliseconds: the backups were entries, any number of which may be lost at once.

An entry now names its jobs in flight to one entry and to two state instances of different data centres, of which a deployment is built to lose only few. A state instance that loses the link to an entry tells all entries linked to it, as its relay does with other interruptions. Beside state instances that don't keep jobs in flight, or of one data centre only, the second entry stays a backup.

Cost: at most one more batched notice a job. A state instance announces the interval at which it takes them, 1 ms for each entry that names jobs to it, so that a hundred entries send it no more than a thousand a second.

Compatible with the version before: `inFlightIntervalMs` of heartbeats and `runsEndAfterMs` of `jobsInFlight` are optional. State instances without the first are named no jobs, and ignore them.

--- a/packages/daemon/src/cluster_node/cluster_node.ts
+++ b/packages/daemon/src/cluster_node/cluster_node.ts
@@ -248,6 +248,7 @@
       digest: EMPTY_DIGEST,
       maxTargets: opts.maxTargets,
       leads: node().replica?.isLeader,
+      inFlightIntervalMs: opts.inFlightIntervalMs?.(),
     }),
     onHeartbeat: (from, heartbeat) =>
       void node().control.pullMissingState(from, heartbeat),
--- a/packages/daemon/src/cluster_node/cluster_node_options.ts
+++ b/packages/daemon/src/cluster_node/cluster_node_options.ts
@@ -22,6 +22,11 @@
   readonly state: () => Heartbeat['state'];
   /** Number of targets that the instance can schedule. */
   readonly maxTargets: number;
+  /**
+   * Interval at which the instance takes notices of jobs in flight, in
+   * milliseconds; absent if it doesn't.
+   */
+  readonly inFlightIntervalMs?: () => number;
   /** Whether this instance keeps a link to a peer. */
   readonly shouldLink: (peer: KnownInstance, state: ControlState) => boolean;
   /**
--- /dev/null
+++ b/packages/daemon/src/entry_instance/_test/entry_group.ts
@@ -0,0 +1,377 @@
+import type {
+  BootId,
+  DataCentreId,
+  InstanceId,
+  JobOutcome,
+  ScheduledJob,
+  ShardId,
+  TargetId,
+  TaskId,
+} from '@papayarun/protocol';
+import {SeededRandom} from '@papayarun/protocol';
+import type {TargetPort} from '@papayarun/scheduling';
+import {longestLeaseMs} from '@papayarun/scheduling';
+import type {MemoryNetworkEnd} from '@papayarun/test_kit';
+import {
+  EmulatedTarget,
+  MemoryNetwork,
+  SilentLog,
+  VirtualClock,
+} from '@papayarun/test_kit';
+import {InterruptedJobRelay} from '../../interrupted_jobs/interrupted_job_relay.js';
+import {InterruptedJobs} from '../../interrupted_jobs/interrupted_jobs.js';
+import {JobSubmitter} from '../job_submitter.js';
+import {LocalSchedulers} from '../local_schedulers.js';
+import type {LocalSchedulersOptions} from '../local_schedulers_options.js';
+import type {SchedulerFinder} from '../scheduler_finder.js';
+import type {ShardScheduler} from '../shard_scheduler.js';
+import {
+  JOB,
+  NEEDS,
+  OTHER_ENTRIES,
+  RUN_MS,
+  SCHEDULERS,
+} from './entry_group_values.js';
+
+const CORES = 32;
+const MAX_NETWORK_DELAY_MS = 1;
+/** Delay of an order to a target, in milliseconds. */
+const ORDER_DELAY_MS = 20;
+const TIMING = {maxLeaseMs: 1_000, stopMs: 50, reportMs: 0, resendMs: 1_300};
+const BOOT = 'b' as BootId;
+const IN_FLIGHT_INTERVAL_MS = 5;
+
+function dataCentreOf(instance: InstanceId): DataCentreId {
+  return instance.split('-')[0] as DataCentreId;
+}
+
+/** Entry instance with the scheduler of its data centre, if it is granted. */
+interface Entry {
+  readonly id: InstanceId;
+  readonly network: MemoryNetworkEnd;
+  readonly schedulers: LocalSchedulers;
+  readonly submitter: JobSubmitter;
+  readonly interrupted: InterruptedJobs;
+  isKilled: boolean;
+}
+
+/**
+ * Two entry instances in each of two data centres; the first one of each
+ * schedules its targets.
+ */
+export class EntryGroup {
+  readonly clock = VirtualClock.create();
+  readonly concurrentRuns: TaskId[] = [];
+  private readonly log = SilentLog.create();
+  private readonly network = MemoryNetwork.create(
+    this.clock,
+    SeededRandom.create(4),
+    MAX_NETWORK_DELAY_MS,
+  );
+  private readonly entries = new Map<InstanceId, Entry>();
+  private readonly targets = new Map<TargetId, EmulatedTarget>();
+  private readonly relays = new Map<InstanceId, InterruptedJobRelay>();
+  /** Entries with a data centre whose schedulers they can't reach. */
+  private readonly unreachable = new Set<string>();
+
+  private constructor(
+    private readonly runMs: number,
+    stateInstances: readonly InstanceId[],
+  ) {
+    for (const id of stateInstances) {
+      this.addStateInstance(id);
+    }
+    for (const id of [...SCHEDULERS, ...OTHER_ENTRIES]) {
+      this.addEntry(id);
+    }
+  }
+
+  /**
+   * Creates the group.
+   *
+   * @param runMs - Run time of all tasks in milliseconds.
+   * @param stateInstances - State instances, each linked to all entries.
+   * @returns The running group.
+   * @example
+   * const group = EntryGroup.create(400, STATE_INSTANCES);
+   */
+  static create(
+    runMs = RUN_MS,
+    stateInstances: readonly InstanceId[] = [],
+  ): EntryGroup {
+    return new EntryGroup(runMs, stateInstances);
+  }
+
+  /** Submits a job by way of an entry. */
+  submit(
+    id: InstanceId,
+    signal = new AbortController().signal,
+    job = JOB,
+  ): {outcome?: JobOutcome} {
+    const answer: {outcome?: JobOutcome} = {};
+    void this.entries
+      .get(id)!
+      .submitter.submit(job, signal)
+      .then(outcome => (answer.outcome = outcome));
+    return answer;
+  }
+
+  /** Keeps an entry from using the schedulers of a data centre. */
+  hide(dataCentre: DataCentreId, from: InstanceId): void {
+    this.unreachable.add(`${from} ${dataCentre}`);
+  }
+
+  /** Replaces the links of an entry, as when they were lost for a moment. */
+  replaceLinks(id: InstanceId): void {
+    for (const entry of this.entries.values()) {
+      if (entry.id !== id) {
+        this.handleLinkDown(entry, id);
+        this.handleLinkDown(this.entries.get(id)!, entry.id);
+      }
+    }
+    for (const [state, relay] of this.relays) {
+      relay.recordLoss(id);
+      this.handleLinkDown(this.entries.get(id)!, state);
+    }
+  }
+
+  /** Ends the process of an entry; the others lose their links to it. */
+  async kill(id: InstanceId): Promise<void> {
+    this.entries.get(id)!.isKilled = true;
+    this.network.leave(id);
+    await this.clock.sleep(MAX_NETWORK_DELAY_MS);
+    for (const entry of this.entries.values()) {
+      if (!entry.isKilled) {
+        this.handleLinkDown(entry, id);
+      }
+    }
+    this.relays.forEach(relay => relay.recordLoss(id));
+  }
+
+  /** Ends the process of a state instance; the entries lose their links to it. */
+  async killStateInstance(id: InstanceId): Promise<void> {
+    this.relays.delete(id);
+    this.network.leave(id);
+    await this.clock.sleep(MAX_NETWORK_DELAY_MS);
+    for (const entry of this.entries.values()) {
+      if (!entry.isKilled) {
+        this.handleLinkDown(entry, id);
+      }
+    }
+  }
+
+  /** Number of messages sent so far between instances. */
+  get messageCount(): number {
+    return this.network.messageCount;
+  }
+
+  startsOf(job: ScheduledJob): number {
+    return [...this.targets.values()]
+      .flatMap(target => target.starts)
+      .filter(({taskId}) => taskId.startsWith(job.id)).length;
+  }
+
+  private handleLinkDown(entry: Entry, peer: InstanceId): void {
+    entry.schedulers.cancelAllOf(peer, 'linkLost');
+    entry.interrupted.recordLoss(peer);
+  }
+
+  private addStateInstance(id: InstanceId): void {
+    const relay = InterruptedJobRelay.create({
+      clock: this.clock,
+      log: this.log,
+      network: this.network.join(id),
+      entries: () => this.liveEntries(id),
+    });
+    this.relays.set(id, relay);
+  }
+
+  /** Entries that an instance is linked to. */
+  private liveEntries(self: InstanceId): Map<InstanceId, DataCentreId> {
+    return new Map(
+      [...this.entries.values()]
+        .filter(({id, isKilled}) => id !== self && !isKilled)
+        .map(({id}) => [id, dataCentreOf(id)]),
+    );
+  }
+
+  private addEntry(id: InstanceId): void {
+    const network = this.network.join(id);
+    const schedulers = this.createSchedulers(id);
+    const interrupted = InterruptedJobs.create({
+      self: id,
+      dataCentre: dataCentreOf(id),
+      clock: this.clock,
+      random: SeededRandom.create(this.entries.size),
+      log: this.log,
+      network,
+      entries: () => this.liveEntries(id),
+      stateInstances: () => [...this.relays.keys()],
+      inFlightKeepers: () =>
+        new Map(
+          [...this.relays.keys()].map(state => [
+            state,
+            {
+              dataCentre: dataCentreOf(state),
+              intervalMs: IN_FLIGHT_INTERVAL_MS,
+            },
+          ]),
+        ),
+      longestLeaseMs: longestLeaseMs(TIMING),
+    });
+    const submitter = JobSubmitter.create({
+      self: id,
+      interrupted,
+      finder: this.finder(id),
+      network,
+      clock: this.clock,
+      log: this.log,
+      keepAliveMs: 300,
+      loopLagMs: () => 0,
+      maxPauseMs: 900,
+      longestLeaseMs: longestLeaseMs(TIMING),
+      schedule: (shard, job) => schedulers.submit(id, shard, job),
+      quote: (shard, job) => schedulers.quote(shard, job),
+      cancel: jobId => schedulers.cancel(id, jobId, 'notice'),
+      recordRunTime: () => undefined,
+    });
+    network.onCall('scheduleJob', async (from, {job, shard, submissionId}) => ({
+      outcome: await schedulers.submit(from, shard!, job, true, submissionId),
+    }));
+    network.onNotice('cancelJob', (from, {jobId}) =>
+      schedulers.cancel(from, jobId, 'notice'),
+    );
+    this.entries.set(id, {
+      id,
+      network,
+      schedulers,
+      submitter,
+      interrupted,
+      isKilled: false,
+    });
+  }
+
+  private finder(self: InstanceId): SchedulerFinder {
+    const reachable = (): ShardScheduler[] =>
+      SCHEDULERS.filter(
+        id =>
+          !this.entries.get(id)!.isKilled &&
+          !this.unreachable.has(`${self} ${dataCentreOf(id)}`),
+      ).map(instanceId => ({
+        shard: dataCentreOf(instanceId) as string as ShardId,
+        dataCentre: dataCentreOf(instanceId),
+        grant: {instanceId, boot: BOOT, token: 1},
+      }));
+    const finder: Partial<SchedulerFinder> = {
+      reachable,
+      // Without a scheduler of its own data centre, an entry takes another one.
+      localSchedulersIn: schedulers => {
+        const own = schedulers.filter(
+          ({dataCentre}) => dataCentre === dataCentreOf(self),
+        );
+        return own.length > 0 ? own : [...schedulers];
+      },
+      isTakeoverRefusal: () => false,
+      recordGrantChange: () => undefined,
+      waitForSuccessor: () => Promise.resolve(undefined),
+    };
+    return finder as SchedulerFinder;
+  }
+
+  private createSchedulers(self: InstanceId): LocalSchedulers {
+    const dataCentre = dataCentreOf(self);
+    const shard = dataCentre as string as ShardId;
+    const ignore = (): void => undefined;
+    const isGranted = SCHEDULERS.includes(self);
+    const grants = {[shard]: {instanceId: self, boot: BOOT, token: 1}};
+    const schedulers = LocalSchedulers.create({
+      self,
+      dataCentre,
+      targetClient: this.port(self),
+      timing: TIMING,
+      store: {
+        state: {schedulers: isGranted ? grants : {}, targetShards: {}},
+      } as unknown as LocalSchedulersOptions['store'],
+      clock: this.clock,
+      log: this.log,
+      metrics: {
+        recordJob: ignore,
+        recordForecastError: ignore,
+        recordFreeSlots: ignore,
+      },
+      loopLagMs: () => 0,
+      heardMs: () => this.clock.now(),
+      isHolderActive: () => false,
+      catchUp: () => undefined,
+      onLostSubmissionEnded: (jobId, submissionId) =>
+        this.entries.get(self)!.interrupted.recordEnd(jobId, submissionId),
+      onTaskLost: ignore,
+    });
+    schedulers.applyGrants(BOOT);
+    if (isGranted) {
+      this.addTarget(schedulers, shard);
+    }
+    return schedulers;
+  }
+
+  private addTarget(schedulers: LocalSchedulers, shard: ShardId): void {
+    const targetId = `i-${shard}` as TargetId;
+    this.targets.set(
+      targetId,
+      EmulatedTarget.create(
+        this.clock,
+        SeededRandom.create(1),
+        CORES,
+        TIMING.maxLeaseMs,
+        () => this.runMs,
+      ),
+    );
+    schedulers.acceptReport(shard, {
+      targetId,
+      bornMs: 1,
+      sequence: 1,
+      state: 'ready',
+      service: JOB.service,
+      dataCentre: shard as string as DataCentreId,
+      host: '127.0.0.1',
+      port: 1,
+      capacity: {cores: CORES, memoryMb: 1_024, accelerators: 0},
+      labels: [],
+    });
+  }
+
+  /** Orders of an entry, which nothing sends or answers once it is killed. */
+  private port(self: InstanceId): TargetPort {
+    const pass = async (delayMs: number): Promise<void> => {
+      await this.clock.sleep(delayMs);
+      if (this.entries.get(self)!.isKilled) {
+        await new Promise<never>(() => undefined);
+      }
+    };
+    return {
+      start: async (to, {taskId, run, token, leaseEndMs}) => {
+        await pass(1);
+        if ([...this.targets.values()].some(t => t.isRunning(taskId))) {
+          this.concurrentRuns.push(taskId);
+        }
+        const target = this.targets.get(to.targetId)!;
+        return target.start(taskId, run, NEEDS.cores, token, leaseEndMs);
+      },
+      stop: async (to, {taskId, run, token}) => {
+        await pass(ORDER_DELAY_MS);
+        return this.targets.get(to.targetId)!.stop(taskId, run, token);
+      },
+      hold: async (to, {token, lastSeenEnd, leaseEndMs, waitMs}) => {
+        const target = this.targets.get(to.targetId)!;
+        target.hold(token, lastSeenEnd, leaseEndMs);
+        const endMs = this.clock.now() + waitMs;
+        do {
+          await pass(2);
+        } while (this.clock.now() < endMs && !target.hasEndAfter(lastSeenEnd));
+        const res = target.hold(token, lastSeenEnd, leaseEndMs)!;
+        return {kind: 'held', bornMs: 1, ...res};
+      },
+      closeConnections: () => undefined,
+    };
+  }
+}
--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -13,6 +13,7 @@
 import {ClusterNode} from '../cluster_node/cluster_node.js';
 import {InterruptedJobs} from '../interrupted_jobs/interrupted_jobs.js';
 import {afterReading} from '../loop_lag/after_reading.js';
+import {inFlightKeepersOf} from '../members/in_flight_keepers_of.js';
 import {livePeersOf} from '../members/live_peers_of.js';
 import {QueueTable} from '../work_queue/queue_table.js';
 import type {WorkQueue} from '../work_queue/work_queue.js';
@@ -324,6 +325,7 @@
           Number(peers.get(id) !== cfg.dataCentre);
         return [...peers.keys()].sort((a, b) => isRemote(a) - isRemote(b));
       },
+      inFlightKeepers: () => inFlightKeepersOf(membership, network),
       longestLeaseMs: longestLeaseMs(timing),
     });
   }
--- a/packages/daemon/src/entry_instance/job_submitter.test.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.test.ts
@@ -167,6 +167,7 @@
       network: MemoryNetwork.create(this.clock, random, 0).join(SELF),
       entries: () => new Map(),
       stateInstances: () => [],
+      inFlightKeepers: () => new Map(),
       longestLeaseMs: LEASE_MS,
     });
   }
--- a/packages/daemon/src/interrupted_jobs/in_flight_table.ts
+++ b/packages/daemon/src/interrupted_jobs/in_flight_table.ts
@@ -34,6 +34,11 @@
     return new InFlightTable(clock);
   }
 
+  /** Number of instances that have named jobs and are not lost. */
+  get instances(): number {
+    return this.rows.size;
+  }
+
   /** Records jobs that an instance has submitted, and ends of such jobs. */
   add(instance: InstanceId, jobs: readonly InFlightJob[]): void {
     const rows = this.rows.get(instance) ?? new Map<SubmissionId, Row>();
--- a/packages/daemon/src/interrupted_jobs/interrupted_job_relay.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_job_relay.ts
@@ -1,22 +1,37 @@
-import type {InFlightJob} from '@papayarun/protocol';
+import type {InFlightJob, InstanceId} from '@papayarun/protocol';
+import {checkDuration} from './check_duration.js';
 import {checkInFlightJobs} from './check_in_flight_jobs.js';
+import {inFlightIntervalMs} from './in_flight_interval_ms.js';
+import {InFlightTable} from './in_flight_table.js';
 import type {InterruptedJobRelayOptions} from './interrupted_job_relay_options.js';
 import {interruptionBatcher} from './interruption_batcher.js';
 import type {NoticeBatcher} from './notice_batcher.js';
 
 /**
- * Passes the notices of interrupted jobs on to the entry instances, of which not
- * all are linked to each other.
+ * Part of a state instance in the record of interrupted jobs.
+ *
+ * @description Passes the notices of interrupted jobs on to the entry instances,
+ * of which not all are linked to each other, and keeps the jobs in flight of those
+ * that name them to it, which may all be lost at once.
  */
 export class InterruptedJobRelay {
+  private readonly inFlight: InFlightTable;
+  /** Time after the loss of an instance by which its runs have ended, in ms. */
+  private readonly runsEndAfterMs = new Map<InstanceId, number>();
   private readonly notices: NoticeBatcher<InFlightJob>;
 
-  private constructor({clock, entries, network}: InterruptedJobRelayOptions) {
+  private constructor(private readonly opts: InterruptedJobRelayOptions) {
+    const {clock, entries, network} = opts;
+    this.inFlight = InFlightTable.create(clock);
     this.notices = interruptionBatcher(
       clock,
       () => [...entries().keys()],
       (peer, jobs) => network.notify(peer, 'interruptedJobs', {jobs}),
     );
+    network.onNotice('jobsInFlight', (from, {jobs, runsEndAfterMs}) => {
+      this.inFlight.add(from, checkInFlightJobs(jobs));
+      this.runsEndAfterMs.set(from, checkDuration(runsEndAfterMs));
+    });
     network.onNotice('interruptedJobs', (_from, {jobs}) =>
       this.notices.add(checkInFlightJobs(jobs)),
     );
@@ -28,9 +43,38 @@
    * @param opts - Clock, network and linked entry instances.
    * @returns The relay.
    * @example
-   * InterruptedJobRelay.create(opts);
+   * const relay = InterruptedJobRelay.create(opts);
    */
   static create(opts: InterruptedJobRelayOptions): InterruptedJobRelay {
     return new InterruptedJobRelay(opts);
   }
+
+  /**
+   * Interval at which it takes notices of jobs in flight from each entry instance,
+   * in milliseconds.
+   */
+  get inFlightIntervalMs(): number {
+    return inFlightIntervalMs(this.inFlight.instances);
+  }
+
+  /**
+   * Tells the entry instances that one is lost, or the link to it, if runs of its
+   * jobs may go on.
+   *
+   * @param instance - The lost instance.
+   */
+  recordLoss(instance: InstanceId): void {
+    const endAfterMs = this.runsEndAfterMs.get(instance) ?? Infinity;
+    this.runsEndAfterMs.delete(instance);
+    const jobs = this.inFlight
+      .take(instance)
+      .map(job => ({...job, forMs: Math.min(job.forMs, endAfterMs)}));
+    if (jobs.length > 0) {
+      this.opts.log.emit('jobsInterrupted', {
+        peer: instance,
+        jobs: jobs.length,
+      });
+      this.notices.add(jobs);
+    }
+  }
 }
--- a/packages/daemon/src/interrupted_jobs/interrupted_job_relay_options.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_job_relay_options.ts
@@ -1,6 +1,7 @@
 import type {
   Clock,
   DataCentreId,
+  EventLog,
   InstanceId,
   PeerNetwork,
 } from '@papayarun/protocol';
@@ -10,6 +11,7 @@
  */
 export interface InterruptedJobRelayOptions {
   readonly clock: Clock;
+  readonly log: EventLog;
   readonly network: Pick<PeerNetwork, 'notify' | 'onNotice'>;
   /** Linked entry instances that are alive, with their data centre. */
   readonly entries: () => ReadonlyMap<InstanceId, DataCentreId>;
--- a/packages/daemon/src/interrupted_jobs/interrupted_jobs.test.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_jobs.test.ts
@@ -41,6 +41,7 @@
     const all = new Map(this.ids.map(id => [id, CENTRO]));
     InterruptedJobRelay.create({
       clock: this.clock,
+      log: SilentLog.create(),
       network: this.network.join(STATE),
       entries: () => all,
     });
@@ -72,6 +73,7 @@
         network: this.counted(end),
         entries: () => links,
         stateInstances: () => [STATE],
+        inFlightKeepers: () => new Map(),
         longestLeaseMs: LEASE_MS,
       }),
     );
--- a/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
@@ -1,4 +1,5 @@
 import type {
+  DataCentreId,
   InFlightJob,
   InstanceId,
   JobId,
@@ -7,22 +8,16 @@
 } from '@papayarun/protocol';
 import {checkInFlightJobs} from './check_in_flight_jobs.js';
 import {HeldJobs} from './held_jobs.js';
+import {InFlightNotices} from './in_flight_notices.js';
 import {InFlightTable} from './in_flight_table.js';
+import type {InFlightKeeper} from './in_flight_keeper.js';
 import type {InterruptedJobsOptions} from './interrupted_jobs_options.js';
 import {interruptionBatcher} from './interruption_batcher.js';
-import {NoticeBatcher} from './notice_batcher.js';
+import type {NoticeBatcher} from './notice_batcher.js';
 import {selectBackups} from './select_backups.js';
 
-/**
- * Delay before the backups are told of a job, in milliseconds. A job that is
- * refused at once isn't told.
- */
-const IN_FLIGHT_DELAY_MS = 1;
-/** Interval of the notices to the backups in the long run, in milliseconds. */
+/** Interval of the notices to other entry instances, in milliseconds. */
 const IN_FLIGHT_INTERVAL_MS = 5;
-const IN_FLIGHT_BURST = 10;
-/** Most ends that are kept for the next notice to the backups. */
-const MAX_ENDS = 1_024;
 /** State instances that pass interruptions on; one of them may be cut off. */
 const RELAYS = 2;
 /**
@@ -38,9 +33,10 @@
  * them, while runs may go on.
  *
  * @description A caller may send such a job again at once, to an instance that
- * knows nothing of its runs. Each entry instance names its jobs in flight to two
- * backups. When it is lost, they tell the other entry instances; when only the
- * connection of a caller is, it does so itself. Those hold the job until its runs
+ * knows nothing of its runs. Each entry instance names its jobs in flight to
+ * backups: an entry instance, and two state instances or another entry instance.
+ * When it is lost, they tell the other entry instances; when only the connection
+ * of a caller is, it does so itself. Those hold the job until its runs
  * have ended. What is sent beyond the names of the jobs grows with the
  * interruptions, not with the jobs, and its rate is bounded.
  */
@@ -50,11 +46,8 @@
   private readonly inFlight: InFlightTable;
   /** Submissions of this instance whose runs may go on. */
   private readonly own = new Map<SubmissionId, OwnSubmission>();
-  private readonly backupNotices: NoticeBatcher<SubmissionId>;
-  /** Ends of submissions that the backups know of, for their next notice. */
-  private ends: InFlightJob[] = [];
-  /** Backups that know of all submissions named so far. */
-  private toldBackups: ReadonlySet<InstanceId> = new Set();
+  /** To other entry instances, and to state instances. */
+  private readonly inFlightNotices: readonly InFlightNotices[];
   private readonly interruptions: NoticeBatcher<InFlightJob>;
   private submissionCount: number;
 
@@ -63,13 +56,16 @@
     this.held = HeldJobs.create(clock);
     this.inFlight = InFlightTable.create(clock);
     this.submissionCount = Math.floor(random.next() * MAX_FIRST_SUBMISSION);
-    this.backupNotices = NoticeBatcher.create(clock, {
-      delayMs: IN_FLIGHT_DELAY_MS,
-      intervalMs: () => IN_FLIGHT_INTERVAL_MS,
-      burst: IN_FLIGHT_BURST,
-      maxItems: Infinity,
-      send: ids => this.tellBackups(ids),
-    });
+    this.inFlightNotices = [
+      this.createInFlightNotices(
+        () => this.entryBackups(),
+        () => IN_FLIGHT_INTERVAL_MS,
+      ),
+      this.createInFlightNotices(
+        () => this.keepers(),
+        () => this.keeperIntervalMs(),
+      ),
+    ];
     this.interruptions = interruptionBatcher(
       clock,
       () => [
@@ -144,10 +140,9 @@
     this.own.set(submissionId, {
       jobId: id,
       untilMs,
-      isTold: false,
       isInterrupted: false,
     });
-    this.backupNotices.add([submissionId]);
+    this.inFlightNotices.forEach(notices => notices.add(submissionId));
     return submissionId;
   }
 
@@ -178,10 +173,9 @@
     if (!submission || submission.isInterrupted) {
       this.tellEntries([ended]);
     }
-    if (submission?.isTold) {
-      this.ends.push(ended);
-      this.ends = this.ends.slice(-MAX_ENDS);
-    }
+    this.inFlightNotices.forEach(notices =>
+      notices.recordEnd(jobId, submissionId),
+    );
   }
 
   /**
@@ -198,38 +192,62 @@
       this.opts.log.emit('jobsInterrupted', fields);
       this.tellEntries(jobs);
     }
-    if (this.toldBackups.has(instance)) {
-      this.toldBackups = new Set();
-      this.backupNotices.add(this.own.keys());
-    }
+    this.inFlightNotices.forEach(notices => notices.recordLoss(instance));
   }
 
-  /** Names submissions to the backups, and all of them to a new backup. */
-  private tellBackups(ids: readonly SubmissionId[]): void {
-    const {dataCentre, entries, network, self} = this.opts;
-    const started = this.inFlightJobs(ids);
-    if (started.length === 0) {
-      return;
-    }
+  private createInFlightNotices(
+    backups: () => readonly InstanceId[],
+    intervalMs: () => number,
+  ): InFlightNotices {
+    const {clock, longestLeaseMs, network} = this.opts;
+    return InFlightNotices.create({
+      clock,
+      network,
+      backups,
+      intervalMs,
+      runsEndAfterMs: longestLeaseMs,
+      submissions: () => this.own.keys(),
+      inFlight: ids => this.inFlightJobs(ids),
+    });
+  }
+
+  /**
+   * State instances that are told. Any number of entry instances may be lost at
+   * once, but of these only few.
+   */
+  private keepers(): InstanceId[] {
+    const {dataCentre, inFlightKeepers, self} = this.opts;
+    return selectBackups(self, dataCentre, dataCentresOf(inFlightKeepers()));
+  }
+
+  /** Shortest interval that all of them take, in milliseconds. */
+  private keeperIntervalMs(): number {
+    const keepers = this.opts.inFlightKeepers();
+    return Math.max(
+      IN_FLIGHT_INTERVAL_MS,
+      ...this.keepers().map(id => keepers.get(id)!.intervalMs),
+    );
+  }
+
+  /**
+   * Entry instances that are told: only one beside state instances of two data
+   * centres.
+   */
+  private entryBackups(): InstanceId[] {
+    const {dataCentre, entries, inFlightKeepers, self} = this.opts;
+    const keepers = inFlightKeepers();
+    const places = this.keepers().map(id => keepers.get(id)!.dataCentre);
     const backups = selectBackups(self, dataCentre, entries());
-    for (const backup of backups) {
-      const jobs = this.toldBackups.has(backup)
-        ? [...started, ...this.ends]
-        : this.inFlightJobs([...this.own.keys()]);
-      network.notify(backup, 'jobsInFlight', {jobs});
-    }
-    this.toldBackups = new Set(backups);
-    this.ends = [];
+    return new Set(places).size > 1 ? backups.slice(0, 1) : backups;
   }
 
-  /** Those of some submissions whose runs may go on; they count as told. */
-  private inFlightJobs(ids: readonly SubmissionId[]): InFlightJob[] {
+  /** Those of some submissions whose runs may go on. */
+  private inFlightJobs(ids: Iterable<SubmissionId>): InFlightJob[] {
     const nowMs = this.opts.clock.now();
     const jobs: InFlightJob[] = [];
     for (const submissionId of ids) {
       const submission = this.own.get(submissionId);
       if (submission) {
-        submission.isTold = true;
         const {jobId, untilMs} = submission;
         jobs.push({jobId, submissionId, forMs: Math.max(0, untilMs - nowMs)});
       }
@@ -257,8 +275,12 @@
   readonly jobId: JobId;
   /** Monotonic time by which its runs have ended, in milliseconds. */
   readonly untilMs: number;
-  /** Whether the backups may know of it. */
-  isTold: boolean;
   /** Whether the other entry instances may hold its job. */
   isInterrupted: boolean;
 }
+
+function dataCentresOf(
+  keepers: ReadonlyMap<InstanceId, InFlightKeeper>,
+): Map<InstanceId, DataCentreId> {
+  return new Map([...keepers].map(([id, {dataCentre}]) => [id, dataCentre]));
+}
--- a/packages/daemon/src/interrupted_jobs/interrupted_jobs_options.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_jobs_options.ts
@@ -6,6 +6,7 @@
   PeerNetwork,
   RandomSource,
 } from '@papayarun/protocol';
+import type {InFlightKeeper} from './in_flight_keeper.js';
 
 /**
  * Options of the record of interrupted jobs.
@@ -21,6 +22,8 @@
   readonly entries: () => ReadonlyMap<InstanceId, DataCentreId>;
   /** Linked state instances, the nearest first. */
   readonly stateInstances: () => readonly InstanceId[];
+  /** Those that keep jobs in flight. */
+  readonly inFlightKeepers: () => ReadonlyMap<InstanceId, InFlightKeeper>;
   /** Longest time for which runs of a lost instance go on, in milliseconds. */
   readonly longestLeaseMs: number;
 }
--- a/packages/daemon/src/interrupted_jobs/interruption_notices.test.ts
+++ b/packages/daemon/src/interrupted_jobs/interruption_notices.test.ts
@@ -36,11 +36,13 @@
       network: network.join(self),
       entries: () => new Map(),
       stateInstances: () => [STATE_1, STATE_2],
+      inFlightKeepers: () => new Map(),
       longestLeaseMs: LEASE_MS,
     });
   for (const id of [STATE_1, STATE_2]) {
     InterruptedJobRelay.create({
       clock,
+      log: SilentLog.create(),
       network: network.join(id),
       entries: () =>
         new Map([
--- a/packages/daemon/src/state_instance/state_instance.ts
+++ b/packages/daemon/src/state_instance/state_instance.ts
@@ -51,6 +51,7 @@
   private state: Heartbeat['state'] = 'ready';
   private node!: ClusterNode;
   private replica!: Replica;
+  private interruptedJobs!: InterruptedJobRelay;
   private granter!: SchedulerGranter;
   private assigner!: TargetAssigner;
   targetDirectory!: TargetDirectory;
@@ -179,7 +180,8 @@
         state: () => this.state,
         maxTargets: 0,
         shouldLink: (peer: KnownInstance) => peer.role === 'state',
-        onLinkDown: () => undefined,
+        inFlightIntervalMs: () => this.interruptedJobs.inFlightIntervalMs,
+        onLinkDown: peer => this.interruptedJobs.recordLoss(peer),
         onIncarnationChanged: () => undefined,
       },
       async (network, discovery) => {
@@ -188,8 +190,9 @@
       },
     );
     const {network, membership, discovery} = this.node;
-    InterruptedJobRelay.create({
+    this.interruptedJobs = InterruptedJobRelay.create({
       clock: opts.clock,
+      log: opts.log,
       network,
       entries: () => livePeersOf('entry', membership, network),
     });
--- a/packages/protocol/src/messages/heartbeat.ts
+++ b/packages/protocol/src/messages/heartbeat.ts
@@ -28,4 +28,10 @@
    * Absent in versions that schedule whole data centres instead of shards.
    */
   readonly maxTargets?: number;
+  /**
+   * Shortest interval at which the instance takes notices of jobs in flight from
+   * each entry instance, in milliseconds. Absent on entry instances, and in
+   * versions of state instances that keep no jobs in flight.
+   */
+  readonly inFlightIntervalMs?: number;
 }
--- a/packages/protocol/src/messages/peer_notices.ts
+++ b/packages/protocol/src/messages/peer_notices.ts
@@ -26,7 +26,14 @@
    * Names the jobs that the sender has submitted, for the case that it is lost;
    * versions before it ignore the notice.
    */
-  jobsInFlight: {readonly jobs: readonly InFlightJob[]};
+  jobsInFlight: {
+    readonly jobs: readonly InFlightJob[];
+    /**
+     * Time after the loss of the sender by which their runs have ended, in
+     * milliseconds; absent in versions that name them to entry instances alone.
+     */
+    readonly runsEndAfterMs?: number;
+  };
   /**
    * Names jobs whose callers have lost their connection, or whose runs have ended
    * since. State instances pass it on to all entry instances; versions before it
