Tell an entry with a new link of the interruptions that still hold

Two runs of a task at the same time when a caller came back at an entry that had started, or had got its link, after the interruption of the job was told: it knew nothing of it.

A state instance now keeps the interruptions that it relays until their runs have ended, and names them on each new link, before its heartbeat, so before an entry that starts can have a configuration and serve. One notice a link.

Tests, red before: an entry started 50 and 300 ms after the kill of another one (2), and a state instance with real links (1).

--- a/packages/daemon/src/cluster_node/cluster_node.ts
+++ b/packages/daemon/src/cluster_node/cluster_node.ts
@@ -181,6 +181,7 @@
             opts.onLinkDown(peer);
           }
           linkedPeers.add(peer);
+          opts.onLinkUp?.(peer);
           node().membership.sendHeartbeat([peer]);
         },
         linkDown: (peer, reason, silentMs) => {
--- a/packages/daemon/src/cluster_node/cluster_node_options.ts
+++ b/packages/daemon/src/cluster_node/cluster_node_options.ts
@@ -29,6 +29,8 @@
   readonly inFlightIntervalMs?: () => number;
   /** Whether this instance keeps a link to a peer. */
   readonly shouldLink: (peer: KnownInstance, state: ControlState) => boolean;
+  /** Called when the link to a peer is new, before anything is received by it. */
+  readonly onLinkUp?: (peer: KnownInstance['instanceId']) => void;
   /**
    * Called when the link to a peer is lost, or a newer one has replaced it and
    * nothing has been received by that yet.
--- a/packages/daemon/src/entry_instance/_test/entry_group.ts
+++ b/packages/daemon/src/entry_instance/_test/entry_group.ts
@@ -148,6 +148,12 @@
     this.relays.forEach(relay => relay.recordLoss(id));
   }
 
+  /** Starts a new process of an entry, which knows nothing of what was before. */
+  start(id: InstanceId): void {
+    this.addEntry(id);
+    this.relays.forEach(relay => relay.recordLink(id));
+  }
+
   /** Ends the process of a state instance; the entries lose their links to it. */
   async killStateInstance(id: InstanceId): Promise<void> {
     this.relays.delete(id);
--- a/packages/daemon/src/entry_instance/returning_callers.test.ts
+++ b/packages/daemon/src/entry_instance/returning_callers.test.ts
@@ -340,3 +340,39 @@
     expect(withStateInstances! - without!).toBeLessThanOrEqual(20);
   });
 });
+
+describe('A caller that comes back at an entry that was just started', () => {
+  it.each([50, 300])(
+    'does not get its job run beside the runs of an entry killed %i ms before',
+    async downMs => {
+      const group = EntryGroup.create(900, STATE_INSTANCES);
+      await group.clock.advance(50);
+      group.submit(CENTRO_1);
+      await group.clock.advance(100);
+      [CENTRO_1, CENTRO_2].forEach(id => void group.kill(id));
+      await group.clock.advance(downMs);
+      group.start(CENTRO_2);
+      await group.clock.advance(RETURN_MS);
+      const again = group.submit(CENTRO_2);
+      await group.clock.advance(4_000);
+      expect(group.concurrentRuns).toEqual([]);
+      expect(again.outcome?.kind).toBe('completed');
+    },
+  );
+
+  it('does not wait for runs that have ended before', async () => {
+    const group = EntryGroup.create(RUN_MS, STATE_INSTANCES);
+    await group.clock.advance(50);
+    group.submit(CENTRO_2);
+    await group.clock.advance(100);
+    void group.kill(CENTRO_2);
+    // The scheduler of its job, which was not lost, has stopped the runs.
+    await group.clock.advance(100);
+    group.start(CENTRO_2);
+    await group.clock.advance(RETURN_MS);
+    const again = group.submit(CENTRO_2);
+    await group.clock.advance(RUN_MS + 100);
+    expect(group.concurrentRuns).toEqual([]);
+    expect(again.outcome?.kind).toBe('completed');
+  });
+});
--- a/packages/daemon/src/interrupted_jobs/held_jobs.ts
+++ b/packages/daemon/src/interrupted_jobs/held_jobs.ts
@@ -80,6 +80,18 @@
     }
   }
 
+  /** Interrupted submissions whose runs may go on, and for how long. */
+  interrupted(): InFlightJob[] {
+    const nowMs = this.clock.now();
+    return [...this.submissions]
+      .filter(([, {hasEnded, untilMs}]) => !hasEnded && untilMs > nowMs)
+      .map(([submissionId, {jobId, untilMs}]) => ({
+        jobId,
+        submissionId,
+        forMs: untilMs - nowMs,
+      }));
+  }
+
   /** Whether runs of an interrupted submission of a job may go on. */
   has(jobId: JobId): boolean {
     return this.leftMs(jobId) > 0;
--- a/packages/daemon/src/interrupted_jobs/interrupted_job_relay.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_job_relay.ts
@@ -1,6 +1,7 @@
 import type {InFlightJob, InstanceId} from '@papayarun/protocol';
 import {checkDuration} from './check_duration.js';
 import {checkInFlightJobs} from './check_in_flight_jobs.js';
+import {HeldJobs} from './held_jobs.js';
 import {inFlightIntervalMs} from './in_flight_interval_ms.js';
 import {InFlightTable} from './in_flight_table.js';
 import type {InterruptedJobRelayOptions} from './interrupted_job_relay_options.js';
@@ -11,18 +12,22 @@
  * Part of a state instance in the record of interrupted jobs.
  *
  * @description Passes the notices of interrupted jobs on to the entry instances,
- * of which not all are linked to each other, and keeps the jobs in flight of those
- * that name them to it, which may all be lost at once.
+ * of which not all are linked to each other, or were when a job was interrupted.
+ * Keeps the jobs in flight of those that name them to it, which may all be lost at
+ * once.
  */
 export class InterruptedJobRelay {
   private readonly inFlight: InFlightTable;
   /** Time after the loss of an instance by which its runs have ended, in ms. */
   private readonly runsEndAfterMs = new Map<InstanceId, number>();
+  /** Interruptions, for entry instances that are linked later. */
+  private readonly held: HeldJobs;
   private readonly notices: NoticeBatcher<InFlightJob>;
 
   private constructor(private readonly opts: InterruptedJobRelayOptions) {
     const {clock, entries, network} = opts;
     this.inFlight = InFlightTable.create(clock);
+    this.held = HeldJobs.create(clock);
     this.notices = interruptionBatcher(
       clock,
       () => [...entries().keys()],
@@ -33,7 +38,7 @@
       this.runsEndAfterMs.set(from, checkDuration(runsEndAfterMs));
     });
     network.onNotice('interruptedJobs', (_from, {jobs}) =>
-      this.notices.add(checkInFlightJobs(jobs)),
+      this.tellEntries(checkInFlightJobs(jobs)),
     );
   }
 
@@ -57,6 +62,18 @@
     return inFlightIntervalMs(this.inFlight.instances);
   }
 
+  /**
+   * Tells an instance of the interruptions whose runs may still go on.
+   *
+   * @param instance - Instance whose link is new.
+   */
+  recordLink(instance: InstanceId): void {
+    const jobs = this.held.interrupted();
+    if (jobs.length > 0) {
+      this.opts.network.notify(instance, 'interruptedJobs', {jobs});
+    }
+  }
+
   /**
    * Tells the entry instances that one is lost, or the link to it, if runs of its
    * jobs may go on.
@@ -74,7 +91,12 @@
         peer: instance,
         jobs: jobs.length,
       });
-      this.notices.add(jobs);
+      this.tellEntries(jobs);
     }
   }
+
+  private tellEntries(jobs: readonly InFlightJob[]): void {
+    jobs.forEach(job => this.held.record(job));
+    this.notices.add(jobs);
+  }
 }
--- a/packages/daemon/src/state_instance/interrupted_jobs.test.ts
+++ b/packages/daemon/src/state_instance/interrupted_jobs.test.ts
@@ -162,3 +162,20 @@
   await waitUntil(() => other.interrupted.length > 0);
   expect(other.interrupted).toMatchObject([{jobId: JOB_ID, forMs: LEASE_MS}]);
 });
+
+it('tells an entry whose link is new of the jobs of one that has ended before', async () => {
+  await startStateInstance();
+  const lost = await startEntry(2);
+  await waitUntil(() => lost.inFlightIntervalMs !== undefined);
+  nameJob(lost);
+  await new Promise(resolve => setTimeout(resolve, 2 * HEARTBEAT_MS));
+  await lost.stop();
+  const startedMs = performance.now();
+  await new Promise(resolve => setTimeout(resolve, 2 * HEARTBEAT_MS));
+  const other = await startEntry(3);
+  await waitUntil(() => other.interrupted.length > 0);
+  expect(other.interrupted).toMatchObject([{jobId: JOB_ID}]);
+  const {forMs} = other.interrupted[0]!;
+  expect(forMs).toBeGreaterThan(LEASE_MS - (performance.now() - startedMs));
+  expect(forMs).toBeLessThanOrEqual(LEASE_MS - 2 * HEARTBEAT_MS + 5);
+});
--- a/packages/daemon/src/state_instance/state_instance.ts
+++ b/packages/daemon/src/state_instance/state_instance.ts
@@ -181,6 +181,7 @@
         maxTargets: 0,
         shouldLink: (peer: KnownInstance) => peer.role === 'state',
         inFlightIntervalMs: () => this.interruptedJobs.inFlightIntervalMs,
+        onLinkUp: peer => this.handleLinkUp(peer),
         onLinkDown: peer => this.interruptedJobs.recordLoss(peer),
         onIncarnationChanged: () => undefined,
       },
@@ -226,6 +227,13 @@
     });
   }
 
+  /** Tells an instance of interrupted jobs, which no state instance needs. */
+  private handleLinkUp(peer: InstanceId): void {
+    if (this.node.membership.peer(peer)?.heartbeat.role !== 'state') {
+      this.interruptedJobs.recordLink(peer);
+    }
+  }
+
   private openReplica(
     network: PeerNetwork,
     discovery: PeerDiscovery,
