Cancel a submission beside another one of its job

Two runs of a task at the same time: an entry that was frozen for 0.8 s handed a job to a scheduler and withdrew it at once, since its caller had left.

Cause: whether anybody waits was counted by job, not by what was submitted. Now a withdrawal cancels what no other instance has submitted, and leaves the rest.

No message has changed.

--- a/packages/daemon/src/entry_instance/local_schedulers.test.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.test.ts
@@ -141,6 +141,18 @@
     expect(answer.outcome).toMatchObject({reason: 'cancelled'});
   });
 
+  // The whole job went on, since another instance waited for a part of it.
+  it('cancels a job beside a part of it that another entry waits for', async () => {
+    const fixture = new Fixture();
+    const part = {...JOB, steps: [{...JOB.steps[0]!, count: 1}]};
+    const ofPart = fixture.submit(OTHER_ENTRY, part);
+    const ofJob = fixture.submit(ENTRY, JOB);
+    fixture.local.cancel(ENTRY, JOB.id, 'notice');
+    await fixture.clock.advance(30);
+    expect(ofJob.outcome).toMatchObject({reason: 'cancelled'});
+    expect(ofPart.outcome).toBeUndefined();
+  });
+
   it('keeps a job that its entry has submitted again after a cancel', async () => {
     const fixture = new Fixture();
     fixture.submit(ENTRY, JOB);
--- a/packages/daemon/src/entry_instance/local_schedulers.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.ts
@@ -17,6 +17,7 @@
 import type {ControlState, SchedulerGrant} from '@papayarun/releases';
 import {
   CrashEvidence,
+  jobKey,
   RunTimeEstimator,
   Scheduler,
 } from '@papayarun/scheduling';
@@ -34,6 +35,8 @@
 /** Submission of a job or of a part of one, whose outcome an instance waits for. */
 interface Submission {
   readonly requester: InstanceId;
+  /** The job, or the part of it. */
+  readonly job: ScheduledJob;
   /** Monotonic time of the submission, in milliseconds. */
   readonly atMs: number;
   /** Whether the requester sends something while it waits. */
@@ -141,6 +144,7 @@
     const atMs = this.opts.clock.now();
     const submission: Submission = {
       requester,
+      job,
       atMs,
       isKeptAlive,
       isRequesterLost: false,
@@ -181,8 +185,8 @@
   }
 
   /**
-   * Cancels all submissions of a job by an instance, and ends the job unless
-   * another instance waits for it too.
+   * Cancels all submissions of a job by an instance, and ends those parts of the
+   * job that no other instance waits for.
    *
    * @param requester - The instance.
    * @param jobId - The job.
@@ -215,8 +219,11 @@
           others: submissions.size,
         });
       }
-      if (cancelled.length > 0 && submissions.size === 0) {
-        this.schedulers.get(shard)?.cancel(jobId);
+      const awaited = new Set([...submissions].map(({job}) => jobKey(job)));
+      for (const {job} of cancelled) {
+        if (!awaited.has(jobKey(job))) {
+          this.schedulers.get(shard)?.cancelSubmission(job);
+        }
       }
     }
   }
--- a/packages/scheduling/src/_lib/create_job_record.ts
+++ b/packages/scheduling/src/_lib/create_job_record.ts
@@ -1,6 +1,6 @@
 import type {JobOutcome, ScheduledJob, TaskId} from '@papayarun/protocol';
 import type {JobRecord} from './job_record.js';
-import {jobKey} from './job_key.js';
+import {jobKey} from '../job_key/job_key.js';
 import {criticalPathMs} from './critical_path_ms.js';
 
 /** Widest step that runs in a single wave, as a share of all slots. */
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -22,7 +22,7 @@
 import {DoneTasks} from '../_lib/done_tasks.js';
 import {DepartedTargets} from '../_lib/departed_targets.js';
 import {compareWaitingJobs} from '../_lib/compare_waiting_jobs.js';
-import {jobKey} from '../_lib/job_key.js';
+import {jobKey} from '../job_key/job_key.js';
 import {mayHaveRun} from '../_lib/may_have_run.js';
 import {placedTasks} from '../_lib/placed_tasks.js';
 import {slotFreeTimes} from '../_lib/slot_free_times.js';
@@ -401,6 +401,19 @@
     }
   }
 
+  /**
+   * Cancels a submission that no caller waits for any more, beside others of its
+   * job.
+   *
+   * @param job - The job, or the part of it that was submitted.
+   */
+  cancelSubmission(job: ScheduledJob): void {
+    const record = this.jobs.get(jobKey(job));
+    if (record) {
+      this.failJob(record, 'cancelled');
+    }
+  }
+
   private prepareRecord(
     job: ScheduledJob,
     nowMs: number,
