Keep the verdict of a failure that has no room in the claim table

Cause: ClaimTable marked every outcome without room as isAnswerGone, also a refusal.

Why this works: recordWithoutAnswer decides what is kept. A refusal keeps its code and verdict with a fixed message, as an ordinary outcome; only an answer becomes isAnswerGone. The limit now counts the field name of a refusal as well.

--- a/packages/claims/src/_test/simulated_data_centre.ts
+++ b/packages/claims/src/_test/simulated_data_centre.ts
@@ -23,6 +23,7 @@
 import {Claims} from '../claims/claims.js';
 import {ViewMembership} from '../view_membership/view_membership.js';
 import {ViewReconciler} from '../view_reconciler/view_reconciler.js';
+import {answerOf} from './answer_of.js';
 import {INSTANCE_IDS} from './instance_ids.js';
 import type {SimulatedProcess} from './simulated_process.js';
 
@@ -48,9 +49,16 @@
   private controlState = EMPTY_CONTROL_STATE;
   private lastNumber = 0;
 
+  /**
+   * @param seed - Seed of delays.
+   * @param maxAnswerBytes - Limit of the stored answers of an instance, in bytes.
+   * @param outcomeOf - Outcome of the work of an id.
+   */
   constructor(
     seed: number,
     private readonly maxAnswerBytes = 1 << 20,
+    private readonly outcomeOf = (id: string): Outcome =>
+      answerOf(Buffer.from(id)),
   ) {
     this.random = SeededRandom.create(seed);
     this.net = MemoryNetwork.create(this.clock, this.random, 5);
@@ -240,13 +248,7 @@
     if (!process.isUp) {
       return new Promise<never>(() => undefined);
     }
-    const answer = {
-      status: 200,
-      contentType: 'text/plain',
-      body: Buffer.from(id),
-      release: 1,
-    };
-    return {kind: 'answered', answer};
+    return this.outcomeOf(id);
   }
 
   private newBoot(): BootId {
--- a/packages/claims/src/claim_table/claim_table.ts
+++ b/packages/claims/src/claim_table/claim_table.ts
@@ -6,6 +6,7 @@
 } from '@papayarun/protocol';
 import {parseRequestKey} from '@papayarun/protocol';
 import {answersToDrop} from '../answers_to_drop/answers_to_drop.js';
+import {recordWithoutAnswer} from '../record_without_answer/record_without_answer.js';
 
 const MS_PER_SECOND = 1000;
 
@@ -22,7 +23,8 @@
  * Claims that one instance stores, limited in number, answer bytes and age.
  *
  * @description An answer that is given up for lack of room leaves the fact that
- * the work has ended, so that it is never started again.
+ * the work has ended, and a refusal its code and verdict, so that the work is
+ * never started again.
  */
 export class ClaimTable {
   private readonly entries = new Map<string, TableEntry>();
@@ -114,11 +116,11 @@
     );
     ids.forEach(oldId => this.dropAnswer(oldId));
     if (!isNewKept) {
-      this.markAnswerGone(entry, bytes);
+      this.giveUpAnswer(entry, outcome, bytes);
       return;
     }
     entry.record = {
-      ...withoutOutcome(entry.record),
+      ...claimOf(entry.record),
       outcome: withOwnBytes(outcome),
     };
     this.answerBytes.set(id, bytes);
@@ -126,17 +128,24 @@
   }
 
   private dropAnswer(id: string): void {
+    const entry = this.entries.get(id)!;
     const bytes = this.answerBytes.get(id) ?? 0;
     this.forgetBytes(id);
-    this.markAnswerGone(this.entries.get(id)!, bytes);
+    this.giveUpAnswer(entry, entry.record.outcome!, bytes);
   }
 
-  private markAnswerGone(entry: TableEntry, bytes: number): void {
-    const record = withoutOutcome(entry.record);
-    entry.record = {...record, isAnswerGone: true, version: 2};
+  private giveUpAnswer(
+    entry: TableEntry,
+    outcome: Outcome,
+    bytes: number,
+  ): void {
+    entry.record = recordWithoutAnswer(entry.record, outcome);
+    if (!entry.record.isAnswerGone) {
+      return;
+    }
     this.droppedAnswers++;
     this.log.emit('answerDropped', {
-      id: record.id,
+      id: entry.record.id,
       bytes,
       keptBytes: this.totalAnswerBytes,
       limitBytes: this.maxAnswerBytes,
@@ -186,7 +195,7 @@
 }
 
 /** The claim itself, without what is known of its work. */
-function withoutOutcome(record: ClaimRecord): ClaimRecord {
+function claimOf(record: ClaimRecord): ClaimRecord {
   const {id, claimId, owner, ownerBoot, fingerprint} = record;
   return {id, claimId, owner, ownerBoot, fingerprint};
 }
@@ -196,7 +205,7 @@
   const text =
     outcome.kind === 'answered'
       ? outcome.answer.contentType
-      : outcome.refusal.message;
+      : outcome.refusal.message + (outcome.refusal.field ?? '');
   const body = outcome.kind === 'answered' ? outcome.answer.body.byteLength : 0;
   return Buffer.byteLength(text) + body;
 }
--- a/packages/claims/src/claims/claims.test.ts
+++ b/packages/claims/src/claims/claims.test.ts
@@ -1,7 +1,14 @@
-import type {ClaimId, DataCentreId, InstanceId} from '@papayarun/protocol';
+import type {
+  ClaimId,
+  DataCentreId,
+  InstanceId,
+  Outcome,
+} from '@papayarun/protocol';
+import {DispatchError} from '@papayarun/protocol';
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {anyAction} from '../_test/any_action.js';
+import {answerOf} from '../_test/answer_of.js';
 import {applyAction} from '../_test/apply_action.js';
 import {INSTANCE_IDS} from '../_test/instance_ids.js';
 import {SimulatedDataCentre} from '../_test/simulated_data_centre.js';
@@ -11,6 +18,24 @@
 const NUM_RUNS = Number(process.env['PAPAYARUN_RUNS'] ?? 150);
 const SEED = Number(process.env['PAPAYARUN_SEED'] ?? 40);
 
+function failedOutcome(): Outcome {
+  const {refusal} = DispatchError.mayHaveRun(
+    'targetFailed',
+    'the connection to the target was lost before it answered',
+  );
+  return {kind: 'refused', refusal};
+}
+
+/**
+ * Outcome of an id by its running number: every third one fails, and the answers
+ * of the others are around the limit.
+ */
+function outcomeNearLimit(id: string, maxAnswerBytes: number): Outcome {
+  const n = Number(id.slice(id.lastIndexOf('-') + 1));
+  const bytes = Math.max(0, maxAnswerBytes - 'text/plain'.length - 2 + (n % 5));
+  return n % 3 === 0 ? failedOutcome() : answerOf(new Uint8Array(bytes));
+}
+
 describe('Claims', () => {
   it('start no id twice despite crashes, freezes, partitions and view changes', async () => {
     await fc.assert(
@@ -112,6 +137,57 @@
     );
   });
 
+  it('do not say that work has run whose failure had no room', async () => {
+    const dataCentre = new SimulatedDataCentre(3, 4, failedOutcome);
+    const [a, b] = INSTANCE_IDS as [InstanceId, InstanceId];
+    await dataCentre.clock.advance(2_000);
+    const id = dataCentre.newId();
+    dataCentre.send(a, id);
+    await dataCentre.clock.advance(500);
+    dataCentre.send(a, id);
+    dataCentre.send(b, id);
+    await dataCentre.clock.advance(2 * WAIT_MS);
+    expect(dataCentre.startsById.get(id)).toBe(1);
+    expect(dataCentre.verdictsById.get(id)).toEqual(new Set(['mayHaveRun']));
+  });
+
+  it('say that an id ran only if it did, with outcomes around the limit', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.nat(2 ** 30),
+        fc.nat(200),
+        fc.array(anyAction, {minLength: 5, maxLength: 50}),
+        async (seed, maxAnswerBytes, steps) => {
+          const dataCentre = new SimulatedDataCentre(seed, maxAnswerBytes, id =>
+            outcomeNearLimit(id, maxAnswerBytes),
+          );
+          await dataCentre.clock.advance(2_000);
+          for (const step of steps) {
+            await applyAction(dataCentre, step);
+          }
+          dataCentre.heal();
+          await dataCentre.clock.advance(4_000);
+          for (const id of dataCentre.ids) {
+            INSTANCE_IDS.forEach(name => dataCentre.send(name, id));
+          }
+          await dataCentre.clock.advance(2 * WAIT_MS);
+          for (const id of dataCentre.ids) {
+            const starts = dataCentre.startsById.get(id) ?? 0;
+            const verdicts = dataCentre.verdictsById.get(id);
+            expect(starts).toBeLessThanOrEqual(1);
+            expect(verdicts).not.toContain('notRun');
+            const {kind} = outcomeNearLimit(id, maxAnswerBytes);
+            if (starts === 0 || kind === 'refused') {
+              expect(verdicts).not.toContain('ran');
+            }
+          }
+          INSTANCE_IDS.forEach(name => dataCentre.crash(name));
+        },
+      ),
+      {seed: SEED, numRuns: NUM_RUNS},
+    );
+  });
+
   it('do not acknowledge a claim of a removed member that has not learned of its removal', async () => {
     const dataCentre = new SimulatedDataCentre(41);
     const [a, b, c] = INSTANCE_IDS as [InstanceId, InstanceId, InstanceId];
