Tell the members that work ran whose answer is too large to send

Cause: the owner sends outcomes to the other members of the claim view, but left large answers out, and the fact with them.

Evidence: claims.test.ts 'say that work has run whose large answer was lost with its owner', red before (verdicts 'ran', then 'mayHaveRun'); 'give a large answer to a caller of another member while its owner runs' guards the answer itself and passed before.

Why this works: the notice claimEnded names the id and the claim; a member marks the claim as isAnswerGone. It still asks the owner for the answer while the owner is alive. An instance of the previous version ignores a notice that it doesn't know and goes on answering ownerLost ('keeps a link on which a notice of a later version arrives').

--- a/packages/claims/src/claim_table/claim_table.ts
+++ b/packages/claims/src/claim_table/claim_table.ts
@@ -127,6 +127,17 @@
     this.totalAnswerBytes += bytes;
   }
 
+  /**
+   * Stores the fact that claimed work has run whose answer another instance has,
+   * if the claim of the id was made by the given attempt.
+   */
+  recordEnd(id: string, claimId: ClaimId): void {
+    const entry = this.entries.get(id);
+    if (entry?.record.claimId === claimId && !entry.record.outcome) {
+      entry.record = {...claimOf(entry.record), isAnswerGone: true, version: 2};
+    }
+  }
+
   private dropAnswer(id: string): void {
     const entry = this.entries.get(id)!;
     const bytes = this.answerBytes.get(id) ?? 0;
--- a/packages/claims/src/claims/claims.test.ts
+++ b/packages/claims/src/claims/claims.test.ts
@@ -18,6 +18,9 @@
 const NUM_RUNS = Number(process.env['PAPAYARUN_RUNS'] ?? 150);
 const SEED = Number(process.env['PAPAYARUN_SEED'] ?? 40);
 
+/** Size of an answer that is not sent to the other members. */
+const LARGE_ANSWER_BYTES = 64 * 1024 + 1;
+
 function failedOutcome(): Outcome {
   const {refusal} = DispatchError.mayHaveRun(
     'targetFailed',
@@ -137,6 +140,50 @@
     );
   });
 
+  it('say that work has run whose large answer was lost with its owner', async () => {
+    const dataCentre = new SimulatedDataCentre(2, 1 << 20, () =>
+      answerOf(new Uint8Array(LARGE_ANSWER_BYTES)),
+    );
+    const [a, b] = INSTANCE_IDS as [InstanceId, InstanceId];
+    await dataCentre.clock.advance(2_000);
+    const id = dataCentre.newId();
+    dataCentre.send(a, id);
+    await dataCentre.clock.advance(500);
+    dataCentre.crash(a);
+    await dataCentre.clock.advance(1_000);
+    dataCentre.send(b, id);
+    await dataCentre.clock.advance(2 * WAIT_MS);
+    expect(dataCentre.startsById.get(id)).toBe(1);
+    expect(dataCentre.verdictsById.get(id)).toEqual(new Set(['ran']));
+  });
+
+  it('give a large answer to a caller of another member while its owner runs', async () => {
+    const dataCentre = new SimulatedDataCentre(2, 1 << 20, () =>
+      answerOf(new Uint8Array(LARGE_ANSWER_BYTES)),
+    );
+    const [a, b] = INSTANCE_IDS as [InstanceId, InstanceId];
+    await dataCentre.clock.advance(2_000);
+    const id = dataCentre.newId();
+    dataCentre.send(a, id);
+    await dataCentre.clock.advance(500);
+    let bytes = 0;
+    void dataCentre.processes
+      .get(b)!
+      .claims.runOnce(
+        id,
+        'content',
+        WAIT_MS,
+        new AbortController().signal,
+        () => Promise.reject(new Error('second start')),
+      )
+      .then(outcome => {
+        bytes =
+          outcome.kind === 'answered' ? outcome.answer.body.byteLength : -1;
+      });
+    await dataCentre.clock.advance(2 * WAIT_MS);
+    expect(bytes).toBe(LARGE_ANSWER_BYTES);
+  });
+
   it('do not say that work has run whose failure had no room', async () => {
     const dataCentre = new SimulatedDataCentre(3, 4, failedOutcome);
     const [a, b] = INSTANCE_IDS as [InstanceId, InstanceId];
--- a/packages/claims/src/claims/claims.ts
+++ b/packages/claims/src/claims/claims.ts
@@ -57,6 +57,9 @@
     network.onNotice('claimAnswered', (_from, {id, claimId, outcome}) => {
       table.recordOutcome(id, claimId, outcome);
     });
+    network.onNotice('claimEnded', (_from, {id, claimId}) => {
+      table.recordEnd(id, claimId);
+    });
     return claims;
   }
 
@@ -252,12 +255,14 @@
     const isLarge =
       outcome.kind === 'answered' &&
       outcome.answer.body.byteLength > MAX_BROADCAST_ANSWER_BYTES;
-    if (isLarge) {
-      return;
-    }
+    const {network} = this.opts;
     const {id, claimId} = record;
     for (const member of members) {
-      this.opts.network.notify(member, 'claimAnswered', {id, claimId, outcome});
+      if (isLarge) {
+        network.notify(member, 'claimEnded', {id, claimId});
+      } else {
+        network.notify(member, 'claimAnswered', {id, claimId, outcome});
+      }
     }
   }
 
--- a/packages/membership/src/ws_peer_network/ws_peer_network.test.ts
+++ b/packages/membership/src/ws_peer_network/ws_peer_network.test.ts
@@ -110,6 +110,20 @@
     }
   });
 
+  it('keeps a link on which a notice of a later version arrives', async () => {
+    const [a, b] = [await openNetwork('a'), await openNetwork('b')];
+    networks.push(a, b);
+    await connect(a, b);
+    let received = 0;
+    b.onNotice('cancelJob', () => received++);
+    a.notify(b.self, 'noticeOfLaterVersion' as 'cancelJob', NOTICE);
+    a.notify(b.self, 'cancelJob', NOTICE);
+    while (received === 0) {
+      await new Promise(resolve => setTimeout(resolve, 1));
+    }
+    expect(b.connectedPeers()).toEqual([a.self]);
+  });
+
   it('dials a peer again when the link that the peer had dialled is lost', async () => {
     const [a, b] = [await openNetwork('a'), await openNetwork('b')];
     networks.push(a, b);
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -36,6 +36,7 @@
 export * from './job/task_spec.js';
 export * from './messages/append_call.js';
 export * from './messages/claim_answered.js';
+export * from './messages/claim_ended.js';
 export * from './messages/claim_call.js';
 export * from './messages/claim_record.js';
 export * from './messages/claim_transfer_call.js';
--- a/packages/protocol/src/messages/claim_record.ts
+++ b/packages/protocol/src/messages/claim_record.ts
@@ -16,7 +16,7 @@
   readonly fingerprint: string;
   readonly outcome?: Outcome;
   /**
-   * Whether the work has ended with an answer that is no longer stored. Absent
+   * Whether the work has ended with an answer that is not stored here. Absent
    * in records of version 1, whose readers take such a claim for one without an
    * outcome.
    */
--- a/packages/protocol/src/messages/peer_notices.ts
+++ b/packages/protocol/src/messages/peer_notices.ts
@@ -2,6 +2,7 @@
 import type {Announcement} from '../target/announcement.js';
 import type {RequestId} from '../ids/request_id.js';
 import type {ClaimAnswered} from './claim_answered.js';
+import type {ClaimEnded} from './claim_ended.js';
 import type {TaskLoss} from '../scheduling/task_loss.js';
 import type {Heartbeat} from './heartbeat.js';
 import type {InFlightJob} from './in_flight_job.js';
@@ -13,6 +14,11 @@
   heartbeat: Heartbeat;
   announcement: Announcement;
   claimAnswered: ClaimAnswered;
+  /**
+   * Stands for `claimAnswered` if the answer is large; versions before it ignore
+   * the notice.
+   */
+  claimEnded: ClaimEnded;
   /** Cancels a piece of work because no caller waits for it any more. */
   cancelDispatch: {readonly requestId: RequestId | string};
   /**
