Say that a lost job ran also when it is cancelled

Cause: the branch of JobService for the jobs of other instances didn't look at isAnswerGone when it handled a cancellation.

--- a/packages/daemon/src/job_service/job_service.ts
+++ b/packages/daemon/src/job_service/job_service.ts
@@ -164,7 +164,10 @@
       if (claims.isOwnerAlive(record)) {
         return this.forward(record.owner, command);
       }
-      return jobViewOf(command.id, ownerLostOutcome());
+      return jobViewOf(
+        command.id,
+        record.isAnswerGone ? answerGoneOutcome() : ownerLostOutcome(),
+      );
     }
     runner.cancel(command.id);
     const outcome =
