Take the end of work from a claim transfer also for a known claim

Cause: a joining member ignored a transferred record whenever it held the claim itself, for example from a claim call, and with it the outcome or the fact that the work had ended.

Evidence: claims.test.ts 'take the end of the work from a transfer also for a claim that the new member holds', 1 test red before.

Why this works: ClaimTable.merge adds the outcome or the end to a claim of the same attempt that has none; a claim of another attempt and a stored outcome stay.

--- a/packages/claims/src/claim_table/claim_table.test.ts
+++ b/packages/claims/src/claim_table/claim_table.test.ts
@@ -76,6 +76,17 @@
     expect(other.get(id)).toMatchObject({isAnswerGone: true});
   });
 
+  it('keeps a claim of another attempt, and an outcome, when it merges a record', () => {
+    const id = store(1, 50);
+    const {outcome, ...claim} = table.get(id)!;
+    table.merge({...claim, isAnswerGone: true, version: 2});
+    expect(table.get(id)).toEqual({...claim, outcome});
+    const other = recordOf(2);
+    table.put(other);
+    table.merge({...other, claimId: 'other' as ClaimId, outcome: outcome!});
+    expect(table.get(other.id)).toEqual(other);
+  });
+
   it('takes an answer that another member still has', () => {
     const id = store(1, MAX_ANSWER_BYTES);
     table.recordOutcome(id, recordOf(1).claimId, answerOf(new Uint8Array(3)));
--- a/packages/claims/src/claim_table/claim_table.ts
+++ b/packages/claims/src/claim_table/claim_table.ts
@@ -96,6 +96,26 @@
     }
   }
 
+  /**
+   * Stores a claim that another member has, or adds what that member knows of its
+   * work to the same claim.
+   */
+  merge(record: ClaimRecord): void {
+    const stored = this.get(record.id);
+    if (!stored) {
+      this.put(record);
+      return;
+    }
+    if (stored.outcome) {
+      return;
+    }
+    if (record.outcome) {
+      this.recordOutcome(record.id, record.claimId, record.outcome);
+    } else if (record.isAnswerGone) {
+      this.recordEnd(record.id, record.claimId);
+    }
+  }
+
   /**
    * Stores the outcome of claimed work, if the claim of the id was made by the
    * given attempt. Older answers make room for a new one; an answer above the
--- a/packages/claims/src/claims/claims.test.ts
+++ b/packages/claims/src/claims/claims.test.ts
@@ -284,6 +284,29 @@
     expect(dataCentre.verdictsById.get(id)).toEqual(new Set(['ran']));
   });
 
+  it('take the end of the work from a transfer also for a claim that the new member holds', async () => {
+    const dataCentre = new SimulatedDataCentre(45);
+    const [a, b, c] = INSTANCE_IDS as [InstanceId, InstanceId, InstanceId];
+    dataCentre.crash(c);
+    await dataCentre.clock.advance(2_000);
+    const id = dataCentre.newId();
+    dataCentre.send(a, id);
+    await dataCentre.clock.advance(500);
+    const {outcome, ...claim} = dataCentre.processes.get(a)!.table.get(id)!;
+    expect(outcome).toBeDefined();
+    dataCentre.start(c);
+    // The notice of the outcome, unlike the claim, may be lost on its way.
+    dataCentre.processes.get(c)!.table.put(claim);
+    await dataCentre.clock.advance(2_000);
+    dataCentre.crash(a);
+    dataCentre.crash(b);
+    await dataCentre.clock.advance(2_000);
+    dataCentre.send(c, id);
+    await dataCentre.clock.advance(2_000);
+    expect(dataCentre.startsById.get(id)).toBe(1);
+    expect(dataCentre.verdictsById.get(id)).toEqual(new Set(['ran']));
+  });
+
   it('do not start the work again when the restarted owner answers for its previous incarnation', async () => {
     for (let seed = 43; seed < 83; seed++) {
       const dataCentre = new SimulatedDataCentre(seed);
--- a/packages/claims/src/view_membership/view_membership.ts
+++ b/packages/claims/src/view_membership/view_membership.ts
@@ -134,9 +134,7 @@
         return false;
       }
       for (const record of res.records) {
-        if (!this.opts.table.get(record.id)) {
-          this.opts.table.put(record);
-        }
+        this.opts.table.merge(record);
       }
       if (res.done) {
         return true;
