Hedge to another target than the one that has the request, or not

Cause: the hedge took the next slot of the pool, and the least loaded target is often the one with the straggler. It also could wait in the queue.

Evidence: keeper.test.ts 'does not hedge to the target that already has the request' (two starts at one target) and 'hedges to another target also if the first one has a lower load', 2 of 2 red before.

Why this works: Pool.acquireElsewhere takes a free slot of another target at once, within the quotas; without one nothing is sent, and the hedge budget is kept. The event hedged (5005) names both targets.

--- a/packages/dispatch/src/keeper/keeper.test.ts
+++ b/packages/dispatch/src/keeper/keeper.test.ts
@@ -22,6 +22,8 @@
 
 const SERVICE = 'booking' as ServiceId;
 const SELF = 'centro-1' as InstanceId;
+/** Run time of a request that is slower than the shortest hedge delay. */
+const STRAGGLER_MS = 1_500;
 const NEVER_ABORTED = new AbortController().signal;
 
 const POLICY: Policy = {
@@ -329,6 +331,42 @@
     expect(fixture.starts).toBe(sends);
   });
 
+  it('does not hedge to the target that already has the request', async () => {
+    fixture = new Fixture();
+    await fixture.add(1, 16);
+    await fixture.runMany(100, 8, 5);
+    const straggler = fixture.work(STRAGGLER_MS);
+    const outcome = fixture.keeper.run(straggler, NEVER_ABORTED);
+    await fixture.runMany(500, 4, 5);
+    expect(successCount([await outcome])).toBe(1);
+    expect(fixture.targets[0]!.starts.get(straggler.requestId)).toBe(1);
+    expect(fixture.keeper.counts.hedges).toBe(0);
+  });
+
+  it('hedges to another target also if the first one has a lower load', async () => {
+    fixture = new Fixture();
+    await fixture.add(1, 64);
+    await fixture.runMany(100, 8, 5);
+    const stragglers = Array.from({length: 8}, () =>
+      fixture.work(STRAGGLER_MS),
+    );
+    const outcomes: Array<Promise<Outcome>> = [];
+    for (const straggler of stragglers) {
+      outcomes.push(fixture.keeper.run(straggler, NEVER_ABORTED));
+      await fixture.runMany(20, 4, 5);
+    }
+    await fixture.add(1, 2);
+    await fixture.runMany(400, 4, 5);
+    expect(successCount(await Promise.all(outcomes))).toBe(stragglers.length);
+    const [first, other] = fixture.targets;
+    for (const {requestId} of stragglers) {
+      expect(first!.starts.get(requestId)).toBe(1);
+    }
+    const hedged = stragglers.filter(w => other!.starts.has(w.requestId));
+    expect(hedged.length).toBe(fixture.keeper.counts.hedges);
+    expect(hedged.length).toBeGreaterThan(0);
+  });
+
   it('sends no request twice that is answered quickly', async () => {
     fixture = new Fixture();
     await fixture.add(3, 16);
--- a/packages/dispatch/src/keeper/keeper.ts
+++ b/packages/dispatch/src/keeper/keeper.ts
@@ -209,8 +209,8 @@
   }
 
   /**
-   * Sends work, and sends it once more to a target with a free slot if no answer
-   * came within the hedge delay; the first successful answer is used.
+   * Sends work, and sends it once more to another target with a free slot if no
+   * answer came within the hedge delay; the first successful answer is used.
    */
   private async sendHedged(
     pool: Pool,
@@ -225,24 +225,32 @@
     try {
       const first = this.sendTo(pool, slot, work, firstCancellation.signal);
       const earlyResult = await this.resultWithin(first, hedgeAfterMs);
-      if (
-        earlyResult ||
-        signal.aborted ||
-        !this.shouldHedge(pool, startedMs, hedgeAfterMs)
-      ) {
+      if (earlyResult || signal.aborted) {
         return earlyResult ?? (await first);
       }
+      const shouldHedge =
+        this.isStraggler(pool, startedMs, hedgeAfterMs) &&
+        pool.hasFreeSlotElsewhere(work, slot.record) &&
+        this.hedgeBudget.tryWithdraw();
+      const hedgeSlot = shouldHedge
+        ? pool.acquireElsewhere(work, slot.record)
+        : undefined;
+      if (!hedgeSlot) {
+        return await first;
+      }
       this.counts.hedges++;
       this.opts.log.emit('hedged', {
         requestId: work.requestId,
         target: slot.record.id,
+        hedgeTarget: hedgeSlot.record.id,
         hedgeAfterMs,
       });
-      const second = pool
-        .acquire(work, secondCancellation.signal)
-        .then(hedgeSlot =>
-          this.sendTo(pool, hedgeSlot, work, secondCancellation.signal),
-        );
+      const second = this.sendTo(
+        pool,
+        hedgeSlot,
+        work,
+        secondCancellation.signal,
+      );
       return await firstSuccessful(first, second);
     } finally {
       firstCancellation.abort(OTHER_SEND_ANSWERED);
@@ -266,11 +274,8 @@
     return earlyResult;
   }
 
-  /**
-   * Whether a run is a straggler, a slot is free and the hedge budget allows a
-   * second send; withdraws that send from the budget.
-   */
-  private shouldHedge(
+  /** Whether a run is slow compared with others, and not this process. */
+  private isStraggler(
     pool: Pool,
     startedMs: number,
     hedgeAfterMs: number,
@@ -278,10 +283,8 @@
     const timerLatenessMs = this.opts.clock.now() - startedMs - hedgeAfterMs;
     return (
       timerLatenessMs <= MAX_TIMER_LATENESS_MS &&
-      pool.digest().free > 0 &&
       pool.runTimes.finishedRunsStartedAfter(startedMs) >=
-        MIN_LATER_FINISHED_RUNS &&
-      this.hedgeBudget.tryWithdraw()
+        MIN_LATER_FINISHED_RUNS
     );
   }
 
--- a/packages/dispatch/src/pool/pool.ts
+++ b/packages/dispatch/src/pool/pool.ts
@@ -173,12 +173,7 @@
    */
   acquire(work: Work, signal: AbortSignal): Promise<Slot> {
     this.checkAdmission(work);
-    const entry: QueueEntry = {
-      work,
-      queuedMs: this.opts.clock.now(),
-      costMs: this.runTimes.expectedMs(work.kind, work.declaredRunMs),
-      removed: false,
-    };
+    const entry = this.entryOf(work);
     return new Promise((resolve, reject) => {
       const cancelWait = (err: Error): void => {
         this.waitCancellers.delete(entry);
@@ -215,6 +210,55 @@
     });
   }
 
+  /**
+   * Whether a target other than the given one can take a piece of work at once.
+   *
+   * @param work - The work.
+   * @param excluded - Target that already has the work.
+   */
+  hasFreeSlotElsewhere(work: Work, excluded: TargetRecord): boolean {
+    return this.pickElsewhere(work, excluded) !== undefined;
+  }
+
+  /**
+   * Takes a free slot of a target other than the given one, ahead of the queue.
+   *
+   * @param work - Work to send.
+   * @param excluded - Target that already has the work.
+   * @returns The slot, which the caller must release, or undefined if there is
+   *   none.
+   */
+  acquireElsewhere(work: Work, excluded: TargetRecord): Slot | undefined {
+    const record = this.pickElsewhere(work, excluded);
+    if (!record) {
+      return undefined;
+    }
+    const entry = this.entryOf(work);
+    return this.occupy(record, entry, () => this.startWaiting());
+  }
+
+  private pickElsewhere(
+    work: Work,
+    excluded: TargetRecord,
+  ): TargetRecord | undefined {
+    if (!this.isWithinQuota(work)) {
+      return undefined;
+    }
+    const others = [...this.availableTargets].filter(
+      record => record.id !== excluded.id,
+    );
+    return this.placement.pick(others, this.entryOf(work));
+  }
+
+  private entryOf(work: Work): QueueEntry {
+    return {
+      work,
+      queuedMs: this.opts.clock.now(),
+      costMs: this.runTimes.expectedMs(work.kind, work.declaredRunMs),
+      removed: false,
+    };
+  }
+
   /** Whether the expected run time no longer fits into the deadline. */
   private cannotMeetDeadline(entry: QueueEntry): boolean {
     const waitedMs = this.opts.clock.now() - entry.queuedMs;
@@ -358,21 +402,28 @@
     resolve: (slot: Slot) => void,
   ): Promise<void> {
     const record = this.placement.pick(this.availableTargets, entry)!;
+    return new Promise(done => resolve(this.occupy(record, entry, done)));
+  }
+
+  /** Takes a slot of a target, and calls a function once the slot is released. */
+  private occupy(
+    record: TargetRecord,
+    entry: QueueEntry,
+    onRelease: () => void,
+  ): Slot {
     this.logPlacement(record, entry);
     this.countStart(entry.work.kind);
     this.adjustLoad(record, entry.work, 1);
-    return new Promise(done => {
-      let released = false;
-      const release = (): void => {
-        if (released) {
-          return;
-        }
-        released = true;
-        this.adjustLoad(record, entry.work, -1);
-        done();
-      };
-      resolve({record, release});
-    });
+    let released = false;
+    const release = (): void => {
+      if (released) {
+        return;
+      }
+      released = true;
+      this.adjustLoad(record, entry.work, -1);
+      onRelease();
+    };
+    return {record, release};
   }
 
   private countStart(kind: KindId): void {
