Move the free slots of a pool's targets out of the pool

TargetSlots counts the slots and says which targets can take work; admission, quotas and the queue stay in Pool. No change of behaviour: the tests of keeper, pool and router pass unchanged.

--- a/packages/dispatch/src/pool/pool.ts
+++ b/packages/dispatch/src/pool/pool.ts
@@ -1,12 +1,5 @@
-import type {
-  KindDigest,
-  KindId,
-  PoolDigest,
-  Resources,
-  TargetId,
-  Work,
-} from '@papayarun/protocol';
-import {DispatchError, fitsIn} from '@papayarun/protocol';
+import type {KindDigest, KindId, PoolDigest, Work} from '@papayarun/protocol';
+import {DispatchError} from '@papayarun/protocol';
 import PQueue from 'p-queue';
 import {FairQueue} from '../fair_queue/fair_queue.js';
 import type {QueueEntry} from '../fair_queue/queue_entry.js';
@@ -15,20 +8,15 @@
 import {RateMeter} from '../rate_meter/rate_meter.js';
 import {RunTimes} from '../run_times/run_times.js';
 import type {TargetRecord} from '../target_registry/target_record.js';
-import {allowedSlots} from './allowed_slots.js';
 import {expectedWait} from './expected_wait.js';
 import type {PoolOptions} from './pool_options.js';
 import type {Slot} from './slot.js';
+import {TargetSlots} from './target_slots.js';
 
 /** Other available targets listed in the log event of a placement. */
 const MAX_LOGGED_ALTERNATIVES = 4;
 /** Smallest limit on the waiting work of a kind, whatever its weight. */
 const MIN_QUEUE_LIMIT_PER_KIND = 64;
-/**
- * Fraction of the targets that may be ejected; beyond it the others would be
- * overloaded, so ejected targets get one request at a time.
- */
-const MAX_EJECTED_FRACTION = 0.5;
 /** Factor on the expected wait at admission, so that admitted work is rarely late. */
 const WAIT_SAFETY_FACTOR = 1.25;
 /** Percentile of the run times that admission assumes for new work. */
@@ -43,11 +31,7 @@
  */
 export class Pool {
   readonly runTimes = RunTimes.create();
-  private readonly members = new Map<TargetId, TargetRecord>();
-  /** Members with a free slot that are not in a backoff after a busy answer. */
-  private readonly availableTargets = new Set<TargetRecord>();
-  /** Slots of each member that are counted in `totalSlots`. */
-  private readonly allowedSlotsByTarget = new Map<TargetRecord, number>();
+  private readonly slots: TargetSlots;
   private readonly runningByTeam = new Map<string, number>();
   private readonly runningByKind = new Map<KindId, number>();
   private readonly startRateByKind = new Map<KindId, RateMeter>();
@@ -57,14 +41,12 @@
   private readonly placement = Placement.create();
   private readonly fairQueue: FairQueue;
   private readonly pqueue: PQueue;
-  private tooManyEjected = false;
-  private totalSlots = 0;
-  private busySlots = 0;
 
   private constructor(private readonly opts: PoolOptions) {
+    this.slots = TargetSlots.create(opts.clock);
     const fairQueue = FairQueue.create({
       weightOf: kind => this.opts.policy.weightOf(kind),
-      hasCapacity: () => this.availableTargets.size > 0,
+      hasCapacity: () => this.slots.available.size > 0,
       canStart: entry => this.canStart(entry),
     });
     this.fairQueue = fairQueue;
@@ -92,8 +74,7 @@
   /** Applies the new state of a target: adds, updates or removes it. */
   update(record: TargetRecord): void {
     const isMember = record.kept && record.announcement.state === 'ready';
-    const allowed = isMember ? this.allowedSlotsOf(record) : 0;
-    if (isMember && this.allowedSlotsByTarget.get(record) === allowed) {
+    if (isMember && this.slots.isUpToDate(record)) {
       // Only the time of the last announcement or the usage of a worker changed.
       if (this.fairQueue.waiting > 0) {
         this.startWaiting();
@@ -101,26 +82,20 @@
       return;
     }
     if (isMember) {
-      this.members.set(record.id, record);
+      this.slots.add(record);
     } else {
-      this.removeTarget(record);
+      this.slots.remove(record);
+      this.placement.dropReservation(record);
     }
     this.refresh();
-    if (this.members.size === 0) {
+    if (this.slots.size === 0) {
       this.refuseWaiting();
     }
   }
 
-  private removeTarget(record: TargetRecord): void {
-    this.members.delete(record.id);
-    this.availableTargets.delete(record);
-    this.allowedSlotsByTarget.delete(record);
-    this.placement.dropReservation(record);
-  }
-
   /** Targets that this pool sends to. */
   targets(): TargetRecord[] {
-    return [...this.members.values()];
+    return this.slots.targets();
   }
 
   get waiting(): number {
@@ -137,12 +112,12 @@
 
   digest(): PoolDigest {
     return {
-      slots: this.totalSlots,
-      free: Math.max(0, this.totalSlots - this.busySlots),
+      slots: this.slots.total,
+      free: this.slots.free,
       queued: this.fairQueue.waiting,
       kinds: this.kindDigests(),
       runMs: Math.round(this.runTimes.meanMs),
-      largest: this.largestWorkerResources(),
+      largest: this.slots.largestWorkerResources(),
     };
   }
 
@@ -244,7 +219,7 @@
     if (!this.isWithinQuota(work)) {
       return undefined;
     }
-    const others = [...this.availableTargets].filter(
+    const others = [...this.slots.available].filter(
       record => record.id !== excluded.id,
     );
     return this.placement.pick(others, this.entryOf(work));
@@ -270,7 +245,7 @@
 
   /** Recounts the slots and starts waiting work that can now run. */
   refresh(): void {
-    this.recountSlots();
+    this.slots.recount();
     this.startWaiting();
   }
 
@@ -295,13 +270,13 @@
   /** Refuses work that cannot be placed or answered in time, before it is queued. */
   private checkAdmission(work: Work): void {
     const {policy} = this.opts;
-    if (work.needs && !this.fitsAnyWorker(work.needs)) {
+    if (work.needs && !this.slots.fitsAnyWorker(work.needs)) {
       throw DispatchError.notRun(
         'neverFits',
         'no worker has the resources that the task needs',
       );
     }
-    if (this.totalSlots === 0) {
+    if (this.slots.total === 0) {
       throw DispatchError.notRun(
         'noTargets',
         `this instance has no ready target of ${work.service}`,
@@ -324,7 +299,7 @@
         },
       );
     }
-    if (this.availableTargets.size > 0 && this.fairQueue.waiting === 0) {
+    if (this.slots.available.size > 0 && this.fairQueue.waiting === 0) {
       return;
     }
     const waitMs = this.expectedWaitMs(work);
@@ -359,7 +334,7 @@
     return expectedWait({
       queuedAhead: this.fairQueue.waitingAhead(work),
       runMs: this.runTimes.expectedMs(work.kind, work.declaredRunMs),
-      slots: this.totalSlots,
+      slots: this.slots.total,
       weight: policy.weightOf(work.kind),
       activeWeight,
       startsPerSecond:
@@ -372,9 +347,9 @@
       return false;
     }
     if (!entry.work.needs) {
-      return this.availableTargets.size > 0;
+      return this.slots.available.size > 0;
     }
-    if (this.placement.pick(this.availableTargets, entry)) {
+    if (this.placement.pick(this.slots.available, entry)) {
       return true;
     }
     this.placement.reserveFor(entry, this.targets(), this.opts.clock.now());
@@ -387,12 +362,12 @@
       isBelowQuota(
         this.runningByTeam.get(work.team),
         policy.teamFraction(work.team),
-        this.totalSlots,
+        this.slots.total,
       ) &&
       isBelowQuota(
         this.runningByCaller.get(work.caller),
         policy.callerFraction(work.caller),
-        this.totalSlots,
+        this.slots.total,
       )
     );
   }
@@ -401,7 +376,7 @@
     entry: QueueEntry,
     resolve: (slot: Slot) => void,
   ): Promise<void> {
-    const record = this.placement.pick(this.availableTargets, entry)!;
+    const record = this.placement.pick(this.slots.available, entry)!;
     return new Promise(done => resolve(this.occupy(record, entry, done)));
   }
 
@@ -437,78 +412,11 @@
 
   /** Counts work as sent to (1) or ended at (-1) a target. */
   private adjustLoad(record: TargetRecord, work: Work, delta: 1 | -1): void {
-    const allowed = this.allowedSlotsByTarget.get(record) ?? 0;
-    const busyBefore = Math.min(record.inFlight, allowed);
-    record.inFlight += delta;
+    this.slots.adjustInFlight(record, delta);
     this.placement.adjustPlaced(record, work, delta);
     addToCount(this.runningByKind, work.kind, delta);
     addToCount(this.runningByTeam, work.team, delta);
     addToCount(this.runningByCaller, work.caller, delta);
-    if (this.members.get(record.id) === record) {
-      this.busySlots += Math.min(record.inFlight, allowed) - busyBefore;
-      this.updateAvailability(record);
-    }
-  }
-
-  private updateAvailability(record: TargetRecord): void {
-    this.availableTargets.delete(record);
-    if (
-      record.inFlight < this.allowedSlotsOf(record) &&
-      record.busyUntilMs <= this.opts.clock.now()
-    ) {
-      this.availableTargets.add(record);
-    }
-  }
-
-  private allowedSlotsOf(record: TargetRecord): number {
-    return allowedSlots(
-      record.health,
-      record.announcement.slots,
-      this.tooManyEjected,
-    );
-  }
-
-  private recountSlots(): void {
-    const records = this.targets();
-    const ejected = records.filter(r => r.health.kind === 'ejected').length;
-    this.tooManyEjected = ejected > records.length * MAX_EJECTED_FRACTION;
-    this.totalSlots = 0;
-    this.busySlots = 0;
-    for (const record of records) {
-      const allowed = this.allowedSlotsOf(record);
-      this.allowedSlotsByTarget.set(record, allowed);
-      this.totalSlots += allowed;
-      this.busySlots += Math.min(record.inFlight, allowed);
-      const isAvailable = this.availableTargets.has(record);
-      const hasCapacity =
-        record.inFlight < allowed &&
-        record.busyUntilMs <= this.opts.clock.now();
-      if (isAvailable !== hasCapacity) {
-        this.updateAvailability(record);
-      }
-    }
-  }
-
-  private fitsAnyWorker(needs: Resources): boolean {
-    return this.targets().some(
-      record =>
-        record.announcement.worker &&
-        fitsIn(needs, record.announcement.worker.total),
-    );
-  }
-
-  private largestWorkerResources(): PoolDigest['largest'] {
-    const totals = this.targets().flatMap(
-      r => r.announcement.worker?.total ?? [],
-    );
-    if (totals.length === 0) {
-      return undefined;
-    }
-    return {
-      cores: Math.max(...totals.map(t => t.cores)),
-      memoryMb: Math.max(...totals.map(t => t.memoryMb)),
-      accelerators: Math.max(...totals.map(t => t.accelerators)),
-    };
   }
 
   private logPlacement(record: TargetRecord, entry: QueueEntry): void {
@@ -517,7 +425,7 @@
       return;
     }
     const alternatives: string[] = [];
-    for (const other of this.availableTargets) {
+    for (const other of this.slots.available) {
       if (alternatives.length === MAX_LOGGED_ALTERNATIVES) {
         break;
       }
@@ -534,7 +442,7 @@
       target: record.id,
       load: `${record.inFlight}/${record.announcement.slots}`,
       waitedMs: Math.round(clock.now() - entry.queuedMs),
-      open: this.availableTargets.size,
+      open: this.slots.available.size,
       alternatives,
     });
   }
