Count bytes, not characters, of behaviours and of waiting log lines

Cause: entry_schemas.ts and bounded_output.ts took the length of a string, which counts UTF-16 units, for bytes.

Why this works: both use Buffer.byteLength.

--- a/packages/daemon/src/bounded_output/bounded_output.test.ts
+++ b/packages/daemon/src/bounded_output/bounded_output.test.ts
@@ -5,6 +5,8 @@
 import {BoundedOutput} from './bounded_output.js';
 
 const SETTLE_MS = 200;
+/** Largest number of bytes that wait to be written. */
+const MAX_PENDING_BYTES = 1024 * 1024;
 
 describe('BoundedOutput', () => {
   it('writes the lines of the last moments when it is drained', async () => {
@@ -20,6 +22,26 @@
     await rm(folder, {recursive: true});
   });
 
+  it('limits the lines that wait by their bytes, not their characters', async () => {
+    const folder = await mkdtemp(join(tmpdir(), 'papayarun-'));
+    const path = join(folder, 'out');
+    const handle = await open(path, 'w');
+    const out = BoundedOutput.create(handle.fd, n => `dropped ${n}\n`);
+    const line = `${'湯'.repeat(1_023)}\n`;
+    const maxLines = Math.floor(MAX_PENDING_BYTES / Buffer.byteLength(line));
+    for (let i = 0; i < maxLines + 1; i++) {
+      out.write(line);
+    }
+    await out.drain();
+    out.write('later\n');
+    await out.drain();
+    const lines = (await readFile(path, 'utf8')).trim().split('\n');
+    expect(lines).toHaveLength(maxLines + 2);
+    expect(lines.slice(-2)).toEqual(['dropped 1', 'later']);
+    await handle.close();
+    await rm(folder, {recursive: true});
+  });
+
   it('drops and counts the lines beyond the limit per second', async () => {
     const folder = await mkdtemp(join(tmpdir(), 'papayarun-'));
     const path = join(folder, 'out');
--- a/packages/daemon/src/bounded_output/bounded_output.ts
+++ b/packages/daemon/src/bounded_output/bounded_output.ts
@@ -62,9 +62,10 @@
       this.windowEndMs = nowMs + RATE_WINDOW_MS;
       this.linesInWindow = 0;
     }
+    const bytes = Buffer.byteLength(line);
     const exceedsLimit =
       ++this.linesInWindow > MAX_LINES_PER_SECOND ||
-      this.pendingBytes + line.length > MAX_PENDING_BYTES;
+      this.pendingBytes + bytes > MAX_PENDING_BYTES;
     if (exceedsLimit) {
       this.droppedLines++;
       return;
@@ -74,7 +75,7 @@
       this.droppedLines = 0;
     }
     this.pendingLines.push(line);
-    this.pendingBytes += line.length;
+    this.pendingBytes += bytes;
     if (!this.isFlushScheduled) {
       this.isFlushScheduled = true;
       setTimeout(() => {
--- a/packages/releases/src/entry/entry_schemas.ts
+++ b/packages/releases/src/entry/entry_schemas.ts
@@ -28,7 +28,7 @@
   behaviour: z
     .json()
     .refine(
-      value => JSON.stringify(value).length <= MAX_BEHAVIOUR_BYTES,
+      value => Buffer.byteLength(JSON.stringify(value)) <= MAX_BEHAVIOUR_BYTES,
       `expected at most ${MAX_BEHAVIOUR_BYTES} bytes of JSON`,
     ),
 } as const;
