Log a call without a list of instances as an event of its own

Cause: peer discovery emitted linkRefused also when a listInstances call over an existing link failed or timed out.

Why this works: the call has the event instancesNotListed (2008).

--- a/packages/daemon/src/cluster_node/peer_discovery.test.ts
+++ b/packages/daemon/src/cluster_node/peer_discovery.test.ts
@@ -1,4 +1,9 @@
-import type {BootId, DataCentreId, InstanceId} from '@papayarun/protocol';
+import type {
+  BootId,
+  DataCentreId,
+  EventLog,
+  InstanceId,
+} from '@papayarun/protocol';
 import type {Membership, PeerAddress} from '@papayarun/membership';
 import {SilentLog, VirtualClock} from '@papayarun/test_kit';
 import {describe, expect, it} from 'vitest';
@@ -17,13 +22,16 @@
 class DiscoveryFixture {
   readonly clock = VirtualClock.create();
   readonly dialled = new Set<InstanceId>();
+  readonly events: string[] = [];
+  connected: InstanceId[] = [];
   logMembers: InstanceId[] = [];
   readonly discovery: PeerDiscovery;
 
   constructor(role: NodeSettings['role']) {
     const network = {
       onCall: () => undefined,
-      connectedPeers: () => [],
+      connectedPeers: () => this.connected,
+      call: () => Promise.reject(new Error('no answer')),
       addDiscoveredPeer: (address: PeerAddress) =>
         this.dialled.add(address.instanceId),
       removeDiscoveredPeer: (id: InstanceId) => this.dialled.delete(id),
@@ -38,7 +46,10 @@
       network: network as unknown as PeerDiscoveryOptions['network'],
       membership: () => ({livePeers: () => []}) as unknown as Membership,
       clock: this.clock,
-      log: SilentLog.create(),
+      log: {
+        ...SilentLog.create(),
+        emit: name => this.events.push(name),
+      } as EventLog,
       logMembers: () => this.logMembers,
       shouldLink: () => true,
     });
@@ -57,6 +68,15 @@
     expect([...dialled]).toEqual([SEED, SCHEDULER]);
   });
 
+  it('does not log a call without an answer as a refused link', async () => {
+    const fixture = new DiscoveryFixture('entry');
+    fixture.connected = [SEED];
+    fixture.discovery.start();
+    await fixture.clock.advance(1);
+    fixture.discovery.stop();
+    expect(fixture.events).toEqual(['instancesNotListed']);
+  });
+
   it('forgets an instance that nobody has heard from', async () => {
     const {discovery, dialled, clock} = new DiscoveryFixture('state');
     discovery.recordInstances([
--- a/packages/daemon/src/cluster_node/peer_discovery.ts
+++ b/packages/daemon/src/cluster_node/peer_discovery.ts
@@ -217,7 +217,7 @@
       const res = await this.opts.network.call(to, 'listInstances', {}, opts);
       this.recordInstances(res.instances);
     } catch (err) {
-      this.opts.log.emit('linkRefused', {
+      this.opts.log.emit('instancesNotListed', {
         peer: to,
         reason: (err as Error).message,
       });
--- a/packages/protocol/src/event_log/event_catalogue.ts
+++ b/packages/protocol/src/event_log/event_catalogue.ts
@@ -76,6 +76,11 @@
     level: 'info',
     text: 'link to a live peer was lost, and its process was not found to have ended; the event has the results of the connections to its address',
   },
+  instancesNotListed: {
+    number: 2008,
+    level: 'warn',
+    text: 'state instance did not say which instances it has heard from; another call follows',
+  },
   replicaRole: {
     number: 3001,
     level: 'info',
