--- a/packages/cli/src/show_command/show_command.ts
+++ b/packages/cli/src/show_command/show_command.ts
@@ -43,11 +43,11 @@
     ),
     targets: defineListCommand(
       'targets',
-      'Targets for which the instance is the owner or the standby.',
+      'Targets for which the instance is the keeper or the standby.',
     ),
     workers: defineListCommand(
       'workers',
-      'Workers for which the instance is the owner or the standby.',
+      'Workers for which the instance is the keeper or the standby.',
     ),
     queues: defineListCommand(
       'queues',
--- a/packages/protocol/src/event_log/event_catalogue.test.ts
+++ b/packages/protocol/src/event_log/event_catalogue.test.ts
@@ -22,4 +22,11 @@
       Object.keys(EVENT_CATALOGUE).length,
     );
   });
+
+  it('names the keeper of a target by the word of the glossary', () => {
+    const {targetAdded, targetGone} = EVENT_CATALOGUE;
+    for (const {text} of [targetAdded, targetGone]) {
+      expect(text).toContain('keeper');
+    }
+  });
 });
--- a/packages/protocol/src/event_log/event_catalogue.ts
+++ b/packages/protocol/src/event_log/event_catalogue.ts
@@ -281,7 +281,7 @@
   targetAdded: {
     number: 6001,
     level: 'info',
-    text: 'this instance now manages the target',
+    text: 'this instance is now the keeper, or the scheduler, of the target',
   },
   targetRunsLost: {
     number: 6018,
@@ -316,7 +316,7 @@
   targetGone: {
     number: 6002,
     level: 'info',
-    text: 'this instance no longer manages the target',
+    text: 'this instance is no longer the keeper, or the scheduler, of the target',
   },
   targetLeaving: {
     number: 6003,
--- a/packages/protocol/src/messages/dispatch_call.ts
+++ b/packages/protocol/src/messages/dispatch_call.ts
@@ -6,7 +6,7 @@
  * Forwards a piece of work to another instance.
  *
  * @description Stage `keeper`: the receiver sends the work to one of the
- * targets that it manages. Stage `entry`: the receiver is in another data
+ * targets whose keeper it is. Stage `entry`: the receiver is in another data
  * centre and treats the work as if a caller had sent it.
  */
 export interface DispatchCall {
