Find the verdict of an accepted note in the history

Cause: applyNote keeps the last 10,000 verdicts, of accepted and refused notes together, so that refused ones push out that of an accepted one.

Evidence: apply_command.test.ts 'gives an accepted note its verdict also after many rejected ones', 1 test red before.

Why this works: a note that the history has (the last 1,000 accepted ones) with the same content gets the verdict 'accepted' and its release. Only the reply changes: the replicated state is the one that the previous version derives, so that replicas of both versions stay equal. The fingerprint of a note's content moved from the operator API to fingerprintOfNote; its value is unchanged.

--- a/packages/daemon/src/operator_api/operator_routes.ts
+++ b/packages/daemon/src/operator_api/operator_routes.ts
@@ -1,8 +1,8 @@
 import type {TargetRecord} from '@papayarun/dispatch';
 import type {DataCentreId} from '@papayarun/protocol';
-import {DispatchError, fingerprint} from '@papayarun/protocol';
+import {DispatchError} from '@papayarun/protocol';
 import type {ControlState} from '@papayarun/releases';
-import {parseNote} from '@papayarun/releases';
+import {fingerprintOfNote, parseNote} from '@papayarun/releases';
 import type {HttpRequest} from '../http/http_request.js';
 import type {HttpResponse} from '../http/http_response.js';
 import type {HttpRoute} from '../http/http_route.js';
@@ -82,18 +82,10 @@
   req: HttpRequest,
 ): Promise<HttpResponse> {
   const note = parseNote(parseDocument(req.body));
-  const content = Buffer.from(
-    JSON.stringify([
-      note.base,
-      sortedEntries(note.added),
-      sortedEntries(note.changed),
-      note.withdrawn,
-    ]),
-  );
   const result = await opts.propose({
     kind: 'applyNote',
     note,
-    fingerprint: fingerprint(content),
+    fingerprint: fingerprintOfNote(note),
     atMs: opts.clock.wallNow(),
   });
   if (result.kind !== 'note') {
@@ -126,12 +118,6 @@
   }
 }
 
-function sortedEntries(
-  values: Readonly<Record<string, unknown>>,
-): Array<[string, unknown]> {
-  return Object.entries(values).sort(([a], [b]) => (a < b ? -1 : 1));
-}
-
 function listReleases(state: ControlState): unknown {
   return {
     current: state.release,
--- a/packages/releases/src/_lib/apply_note.ts
+++ b/packages/releases/src/_lib/apply_note.ts
@@ -3,16 +3,19 @@
 import type {ControlState} from '../control_state/control_state.js';
 import type {ReleaseEntry} from '../control_state/release_entry.js';
 import type {NoteVerdict} from '../note/note_verdict.js';
+import {fingerprintOfNote} from '../note/fingerprint_of_note.js';
 import type {ReleaseNote} from '../note/release_note.js';
 
 /**
- * Number of latest verdicts kept. A note whose verdict was dropped is rejected
- * when it is sent again, since its base is no longer the current release.
+ * Number of latest verdicts kept. A rejected note whose verdict was dropped is
+ * decided again; an accepted one is found in the history.
  */
 const MAX_VERDICTS = 10_000;
 /** Number of latest accepted notes kept. */
 const MAX_HISTORY = 1_000;
 
+type ApplyNote = Extract<ControlCommand, {kind: 'applyNote'}>;
+
 /**
  * Accepts or rejects a release note, and applies it if it is accepted.
  *
@@ -25,8 +28,30 @@
  */
 export function applyNote(
   state: ControlState,
-  command: Extract<ControlCommand, {kind: 'applyNote'}>,
+  command: ApplyNote,
 ): AppliedCommand {
+  const {state: next, verdict} = decide(state, command);
+  // The verdicts may have been dropped for those of rejected notes. The state is
+  // the one that versions without this look-up derive.
+  const accepted = acceptedVerdictOf(state, command.note);
+  return {state: next, result: {kind: 'note', verdict: accepted ?? verdict}};
+}
+
+/** Verdict on a note that the history has with the same content. */
+function acceptedVerdictOf(
+  state: ControlState,
+  note: ReleaseNote,
+): NoteVerdict | undefined {
+  const earlier = state.history.findLast(h => h.note.noteId === note.noteId);
+  const isSame =
+    earlier && fingerprintOfNote(earlier.note) === fingerprintOfNote(note);
+  return isSame ? {kind: 'accepted', release: earlier.release} : undefined;
+}
+
+function decide(
+  state: ControlState,
+  command: ApplyNote,
+): {readonly state: ControlState; readonly verdict: NoteVerdict} {
   const {note, fingerprint} = command;
   const earlier = state.verdicts.findLast(v => v.noteId === note.noteId);
   if (earlier) {
@@ -34,7 +59,7 @@
       earlier.fingerprint === fingerprint
         ? earlier.verdict
         : conflict(state, 'the note id was used for another note');
-    return {state, result: {kind: 'note', verdict}};
+    return {state, verdict};
   }
   const verdict = verdictOf(state, note);
   const verdicts = [
@@ -46,7 +71,7 @@
     verdict.kind === 'accepted'
       ? applyAcceptedNote(stateWithVerdict, command)
       : stateWithVerdict;
-  return {state: next, result: {kind: 'note', verdict}};
+  return {state: next, verdict};
 }
 
 function verdictOf(state: ControlState, note: ReleaseNote): NoteVerdict {
@@ -73,7 +98,7 @@
 
 function applyAcceptedNote(
   state: ControlState,
-  command: Extract<ControlCommand, {kind: 'applyNote'}>,
+  command: ApplyNote,
 ): ControlState {
   const {note, atMs} = command;
   const release = state.release + 1;
--- a/packages/releases/src/apply_command/apply_command.test.ts
+++ b/packages/releases/src/apply_command/apply_command.test.ts
@@ -14,6 +14,8 @@
 import {resolveBehaviours} from '../resolve_behaviours/resolve_behaviours.js';
 import {applyCommand} from './apply_command.js';
 
+/** Number of latest verdicts that the state keeps. */
+const MAX_VERDICTS = 10_000;
 const CENTRO = 'centro' as DataCentreId;
 
 function noteCommand(
@@ -100,6 +102,22 @@
     );
   });
 
+  it('gives an accepted note its verdict also after many rejected ones', () => {
+    const accepted = noteCommand('a', 0, {added: {'behaviour:x': 1}});
+    let {state} = applyNoteCommand(EMPTY_CONTROL_STATE, accepted);
+    for (let n = 0; n < MAX_VERDICTS; n++) {
+      ({state} = applyNoteCommand(state, noteCommand(`late-${n}`, 0, {})));
+    }
+    for (let n = 0; n < 2; n++) {
+      const again = applyNoteCommand(state, accepted);
+      expect(again.verdict).toEqual({kind: 'accepted', release: 1});
+      state = again.state;
+    }
+    const other = noteCommand('a', 1, {added: {'behaviour:y': 1}});
+    expect(applyNoteCommand(state, other).verdict.kind).toBe('conflict');
+    expect(state.release).toBe(1);
+  });
+
   it('rejects a note id that was already used for different content', () => {
     const {state} = applyNoteCommand(
       EMPTY_CONTROL_STATE,
