Hold all jobs while runs may go on of jobs that were dropped

What was known of interrupted jobs was dropped beyond 16,384 submissions at an entry, 4,096 jobs in flight of an instance at its backup and 4,096 jobs of a notice, without a trace: a caller that came back with one of these got a second run beside the first one.

The limits stay, since they bound memory and messages, but what is dropped while it still holds counts as a job that nobody can name: its backup tells how long its runs may go on, and entries hold all jobs that long, for at most a lease. Ends are kept apart from interruptions: they no longer take their room, and one that is dropped can only make a job wait. Event 7016 `allJobsHeld` and the gauge `papayarun_all_jobs_held_ms` say so. No notice is added: the time goes with the next one.

Compatible with the version before: `othersForMs` of `interruptedJobs` is optional; versions before ignore it and hold the named jobs, as they did.

--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -109,6 +109,7 @@
       ...this.node.gauges(),
       ...this.schedulers.gauges(),
       held_submissions: this.interrupted.heldSubmissions,
+      all_jobs_held_ms: this.interrupted.allHeldMs,
       state_index: this.store.index,
       configuration_revision: this.configurationRevision ?? 0,
     };
--- a/packages/daemon/src/interrupted_jobs/held_jobs.test.ts
+++ b/packages/daemon/src/interrupted_jobs/held_jobs.test.ts
@@ -101,4 +101,45 @@
     held.record({jobId: JOB, submissionId: FIRST, forMs: 1_000});
     expect(held.has(JOB)).toBe(false);
   });
+
+  it('holds all jobs until runs that it has no room for have ended', async () => {
+    const clock = VirtualClock.create();
+    const held = HeldJobs.create(clock);
+    for (let n = 0; n < 20_000; n++) {
+      held.record({
+        jobId: `${n}` as JobId,
+        submissionId: `centro-1/${n}` as SubmissionId,
+        forMs: 1_000,
+      });
+    }
+    const jobs = [JOB, ...Array.from({length: 20_000}, (_, n) => `${n}`)];
+    expect(jobs.filter(id => !held.has(id as JobId))).toEqual([]);
+    const wait = waitFor(clock, held);
+    await clock.advance(2_000);
+    expect(wait.atMs).toBe(1_000);
+    expect(held.has(JOB)).toBe(false);
+  });
+
+  it('has room for interruptions after many that have ended', () => {
+    const held = HeldJobs.create(VirtualClock.create());
+    for (let n = 0; n < 20_000; n++) {
+      const submissionId = `centro-1/${n}` as SubmissionId;
+      const jobId = `${n}` as JobId;
+      held.record({jobId, submissionId, forMs: 1_000});
+      held.record({jobId, submissionId, forMs: 0});
+    }
+    held.record({jobId: JOB, submissionId: FIRST, forMs: 1_000});
+    expect(held.has(JOB)).toBe(true);
+    expect(held.has('other' as JobId)).toBe(false);
+  });
+
+  it('holds all jobs while runs may go on of jobs that nobody could name', async () => {
+    const clock = VirtualClock.create();
+    const held = HeldJobs.create(clock);
+    held.recordOthers(300);
+    expect(held.has(JOB)).toBe(true);
+    const wait = waitFor(clock, held);
+    await clock.advance(1_000);
+    expect(wait.atMs).toBe(300);
+  });
 });
--- a/packages/daemon/src/interrupted_jobs/held_jobs.ts
+++ b/packages/daemon/src/interrupted_jobs/held_jobs.ts
@@ -5,11 +5,16 @@
   SubmissionId,
 } from '@papayarun/protocol';
 
-/** Most submissions kept; the oldest are dropped first. */
+/**
+ * Most submissions kept; the oldest are dropped first, and all jobs are held until
+ * their runs have ended.
+ */
 const MAX_SUBMISSIONS = 16_384;
+/** Most ends kept. One that is dropped can only make a job wait longer. */
+const MAX_ENDS = 16_384;
 /**
- * Time for which an end is kept that is known before the interruption, in
- * milliseconds; longer than notices are on their way.
+ * Time for which an end is kept, in milliseconds; longer than notices of the
+ * interruption are on their way.
  */
 const END_KEPT_MS = 5_000;
 
@@ -17,7 +22,6 @@
   readonly jobId: JobId;
   /** Monotonic time by which its runs have ended, in milliseconds. */
   untilMs: number;
-  hasEnded: boolean;
 }
 
 /**
@@ -25,8 +29,12 @@
  * submission may go on.
  */
 export class HeldJobs {
-  /** In the order in which they became known, which is about that of their ends. */
+  /** In the order of the last notice of each, which is about that of their ends. */
   private readonly submissions = new Map<SubmissionId, Submission>();
+  /** Monotonic time until which ends are kept, in milliseconds. */
+  private readonly ended = new Map<SubmissionId, number>();
+  /** Monotonic time until which all jobs are held, in milliseconds. */
+  private allUntilMs = -Infinity;
   private readonly byJob = new Map<JobId, Set<Submission>>();
   /** Aborted when a submission of the job has ended. */
   private readonly ends = new Map<JobId, AbortController>();
@@ -49,12 +57,17 @@
   get size(): number {
     const nowMs = this.clock.now();
     let size = 0;
-    for (const {hasEnded, untilMs} of this.submissions.values()) {
-      size += Number(!hasEnded && untilMs > nowMs);
+    for (const {untilMs} of this.submissions.values()) {
+      size += Number(untilMs > nowMs);
     }
     return size;
   }
 
+  /** Time for which all jobs are held, in milliseconds; 0 if they aren't. */
+  get allForMs(): number {
+    return Math.max(0, this.allUntilMs - this.clock.now());
+  }
+
   /**
    * Records what is known of an interrupted submission. Notices arrive more than
    * once and by several ways; an end is final.
@@ -62,29 +75,35 @@
   record({jobId, submissionId, forMs}: InFlightJob): void {
     this.forgetOld();
     const nowMs = this.clock.now();
-    const known = this.submissions.get(submissionId);
     if (forMs === 0) {
-      if (known) {
-        this.end(known);
-      } else {
-        const untilMs = nowMs + END_KEPT_MS;
-        this.submissions.set(submissionId, {jobId, untilMs, hasEnded: true});
-      }
-    } else if (known) {
-      known.untilMs = Math.max(known.untilMs, nowMs + forMs);
-    } else {
-      const submission = {jobId, untilMs: nowMs + forMs, hasEnded: false};
+      this.end(submissionId);
+      this.ended.delete(submissionId);
+      this.ended.set(submissionId, nowMs + END_KEPT_MS);
+    } else if (!this.ended.has(submissionId)) {
+      const known = this.submissions.get(submissionId);
+      const submission = known ?? {jobId, untilMs: 0};
+      submission.untilMs = Math.max(submission.untilMs, nowMs + forMs);
+      this.submissions.delete(submissionId);
       this.submissions.set(submissionId, submission);
       const others = this.byJob.get(jobId) ?? new Set<Submission>();
       this.byJob.set(jobId, others.add(submission));
     }
   }
 
+  /**
+   * Records that runs of jobs that are not known may go on.
+   *
+   * @param forMs - Time for which they may, in milliseconds.
+   */
+  recordOthers(forMs: number): void {
+    this.allUntilMs = Math.max(this.allUntilMs, this.clock.now() + forMs);
+  }
+
   /** Interrupted submissions whose runs may go on, and for how long. */
   interrupted(): InFlightJob[] {
     const nowMs = this.clock.now();
     return [...this.submissions]
-      .filter(([, {hasEnded, untilMs}]) => !hasEnded && untilMs > nowMs)
+      .filter(([, {untilMs}]) => untilMs > nowMs)
       .map(([submissionId, {jobId, untilMs}]) => ({
         jobId,
         submissionId,
@@ -123,7 +142,7 @@
 
   /** Time for which runs of a job may go on, in milliseconds; 0 for none. */
   private leftMs(jobId: JobId): number {
-    let leftMs = 0;
+    let leftMs = this.allForMs;
     for (const {untilMs} of this.byJob.get(jobId) ?? []) {
       leftMs = Math.max(leftMs, untilMs - this.clock.now());
     }
@@ -132,23 +151,27 @@
 
   private forgetOld(): void {
     const nowMs = this.clock.now();
-    for (const [id, submission] of this.submissions) {
-      if (
-        submission.untilMs > nowMs &&
-        this.submissions.size < MAX_SUBMISSIONS
-      ) {
-        return;
+    for (const [id, {untilMs}] of this.submissions) {
+      if (untilMs > nowMs && this.submissions.size < MAX_SUBMISSIONS) {
+        break;
+      }
+      this.allUntilMs = Math.max(this.allUntilMs, untilMs);
+      this.end(id);
+    }
+    for (const [id, untilMs] of this.ended) {
+      if (untilMs > nowMs && this.ended.size < MAX_ENDS) {
+        break;
       }
-      this.submissions.delete(id);
-      this.end(submission);
+      this.ended.delete(id);
     }
   }
 
-  private end(submission: Submission): void {
-    if (submission.hasEnded) {
+  private end(submissionId: SubmissionId): void {
+    const submission = this.submissions.get(submissionId);
+    if (!submission) {
       return;
     }
-    submission.hasEnded = true;
+    this.submissions.delete(submissionId);
     const {jobId} = submission;
     const others = this.byJob.get(jobId);
     others?.delete(submission);
--- a/packages/daemon/src/interrupted_jobs/in_flight_table.test.ts
+++ b/packages/daemon/src/interrupted_jobs/in_flight_table.test.ts
@@ -43,3 +43,25 @@
   expect(jobs.length).toBeLessThanOrEqual(4_096);
   expect(jobs.at(-1)).toEqual(jobOf(4_999, 900));
 });
+
+it('knows until when jobs may go on that it has dropped', async () => {
+  const clock = VirtualClock.create();
+  const table = InFlightTable.create(clock);
+  for (let n = 0; n < 5_000; n++) {
+    table.add(ENTRY, [jobOf(n, 900)]);
+  }
+  await clock.advance(100);
+  expect(table.droppedForMs(ENTRY)).toBe(800);
+  expect(table.droppedForMs('centro-2:7720' as InstanceId)).toBe(0);
+  table.take(ENTRY);
+  expect(table.droppedForMs(ENTRY)).toBe(0);
+});
+
+it('has dropped nothing that has ended', () => {
+  const table = InFlightTable.create(VirtualClock.create());
+  for (let n = 0; n < 5_000; n++) {
+    table.add(ENTRY, [jobOf(n, 900)]);
+    table.add(ENTRY, [jobOf(n, 0)]);
+  }
+  expect(table.droppedForMs(ENTRY)).toBe(0);
+});
--- a/packages/daemon/src/interrupted_jobs/in_flight_table.ts
+++ b/packages/daemon/src/interrupted_jobs/in_flight_table.ts
@@ -19,6 +19,8 @@
  */
 export class InFlightTable {
   private readonly rows = new Map<InstanceId, Map<SubmissionId, Row>>();
+  /** Monotonic time by which the jobs have ended that were dropped, in ms. */
+  private readonly droppedUntilMs = new Map<InstanceId, number>();
 
   private constructor(private readonly clock: Pick<Clock, 'now'>) {}
 
@@ -56,13 +58,27 @@
         break;
       }
       rows.delete(id);
+      if (untilMs > nowMs) {
+        const knownMs = this.droppedUntilMs.get(instance) ?? -Infinity;
+        this.droppedUntilMs.set(instance, Math.max(knownMs, untilMs));
+      }
     }
   }
 
+  /**
+   * Time for which jobs of an instance may be in flight that were dropped, in
+   * milliseconds; 0 for none.
+   */
+  droppedForMs(instance: InstanceId): number {
+    const untilMs = this.droppedUntilMs.get(instance) ?? -Infinity;
+    return Math.max(0, untilMs - this.clock.now());
+  }
+
   /** Removes the jobs of an instance and returns those that may be in flight. */
   take(instance: InstanceId): InFlightJob[] {
     const rows = this.rows.get(instance);
     this.rows.delete(instance);
+    this.droppedUntilMs.delete(instance);
     const nowMs = this.clock.now();
     return [...(rows?.values() ?? [])]
       .filter(({untilMs}) => untilMs > nowMs)
--- a/packages/daemon/src/interrupted_jobs/interrupted_job_relay.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_job_relay.ts
@@ -5,8 +5,7 @@
 import {inFlightIntervalMs} from './in_flight_interval_ms.js';
 import {InFlightTable} from './in_flight_table.js';
 import type {InterruptedJobRelayOptions} from './interrupted_job_relay_options.js';
-import {interruptionBatcher} from './interruption_batcher.js';
-import type {NoticeBatcher} from './notice_batcher.js';
+import {InterruptionSender} from './interruption_sender.js';
 
 /**
  * Part of a state instance in the record of interrupted jobs.
@@ -22,23 +21,26 @@
   private readonly runsEndAfterMs = new Map<InstanceId, number>();
   /** Interruptions, for entry instances that are linked later. */
   private readonly held: HeldJobs;
-  private readonly notices: NoticeBatcher<InFlightJob>;
+  private readonly notices: InterruptionSender;
 
   private constructor(private readonly opts: InterruptedJobRelayOptions) {
     const {clock, entries, network} = opts;
     this.inFlight = InFlightTable.create(clock);
     this.held = HeldJobs.create(clock);
-    this.notices = interruptionBatcher(
+    this.notices = InterruptionSender.create(
       clock,
       () => [...entries().keys()],
-      (peer, jobs) => network.notify(peer, 'interruptedJobs', {jobs}),
+      (peer, notice) => network.notify(peer, 'interruptedJobs', notice),
     );
     network.onNotice('jobsInFlight', (from, {jobs, runsEndAfterMs}) => {
       this.inFlight.add(from, checkInFlightJobs(jobs));
-      this.runsEndAfterMs.set(from, checkDuration(runsEndAfterMs));
+      this.runsEndAfterMs.set(from, checkDuration(runsEndAfterMs) ?? Infinity);
     });
-    network.onNotice('interruptedJobs', (_from, {jobs}) =>
-      this.tellEntries(checkInFlightJobs(jobs)),
+    network.onNotice('interruptedJobs', (_from, {jobs, othersForMs}) =>
+      this.tellEntries(
+        checkInFlightJobs(jobs),
+        checkDuration(othersForMs) ?? 0,
+      ),
     );
   }
 
@@ -69,8 +71,10 @@
    */
   recordLink(instance: InstanceId): void {
     const jobs = this.held.interrupted();
-    if (jobs.length > 0) {
-      this.opts.network.notify(instance, 'interruptedJobs', {jobs});
+    const othersForMs = this.held.allForMs;
+    if (jobs.length > 0 || othersForMs > 0) {
+      const notice = {jobs, othersForMs};
+      this.opts.network.notify(instance, 'interruptedJobs', notice);
     }
   }
 
@@ -83,6 +87,10 @@
   recordLoss(instance: InstanceId): void {
     const endAfterMs = this.runsEndAfterMs.get(instance) ?? Infinity;
     this.runsEndAfterMs.delete(instance);
+    const othersForMs = Math.min(
+      this.inFlight.droppedForMs(instance),
+      endAfterMs,
+    );
     const jobs = this.inFlight
       .take(instance)
       .map(job => ({...job, forMs: Math.min(job.forMs, endAfterMs)}));
@@ -91,12 +99,16 @@
         peer: instance,
         jobs: jobs.length,
       });
-      this.tellEntries(jobs);
+      this.tellEntries(jobs, othersForMs);
     }
   }
 
-  private tellEntries(jobs: readonly InFlightJob[]): void {
+  private tellEntries(jobs: readonly InFlightJob[], othersForMs: number): void {
     jobs.forEach(job => this.held.record(job));
     this.notices.add(jobs);
+    if (othersForMs > 0) {
+      this.held.recordOthers(othersForMs);
+      this.notices.addOthers(othersForMs);
+    }
   }
 }
--- a/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
@@ -6,14 +6,14 @@
   ScheduledJob,
   SubmissionId,
 } from '@papayarun/protocol';
+import {checkDuration} from './check_duration.js';
 import {checkInFlightJobs} from './check_in_flight_jobs.js';
 import {HeldJobs} from './held_jobs.js';
 import {InFlightNotices} from './in_flight_notices.js';
 import {InFlightTable} from './in_flight_table.js';
 import type {InFlightKeeper} from './in_flight_keeper.js';
 import type {InterruptedJobsOptions} from './interrupted_jobs_options.js';
-import {interruptionBatcher} from './interruption_batcher.js';
-import type {NoticeBatcher} from './notice_batcher.js';
+import {InterruptionSender} from './interruption_sender.js';
 import {selectBackups} from './select_backups.js';
 
 /** Interval of the notices to other entry instances, in milliseconds. */
@@ -48,7 +48,7 @@
   private readonly own = new Map<SubmissionId, OwnSubmission>();
   /** To other entry instances, and to state instances. */
   private readonly inFlightNotices: readonly InFlightNotices[];
-  private readonly interruptions: NoticeBatcher<InFlightJob>;
+  private readonly interruptions: InterruptionSender;
   private submissionCount: number;
 
   private constructor(private readonly opts: InterruptedJobsOptions) {
@@ -66,19 +66,19 @@
         () => this.keeperIntervalMs(),
       ),
     ];
-    this.interruptions = interruptionBatcher(
+    this.interruptions = InterruptionSender.create(
       clock,
       () => [
         ...opts.entries().keys(),
         ...opts.stateInstances().slice(0, RELAYS),
       ],
-      (peer, jobs) => network.notify(peer, 'interruptedJobs', {jobs}),
+      (peer, notice) => network.notify(peer, 'interruptedJobs', notice),
     );
     network.onNotice('jobsInFlight', (from, {jobs}) =>
       this.inFlight.add(from, checkInFlightJobs(jobs)),
     );
-    network.onNotice('interruptedJobs', (_from, {jobs}) =>
-      this.hold(checkInFlightJobs(jobs)),
+    network.onNotice('interruptedJobs', (_from, {jobs, othersForMs}) =>
+      this.hold(checkInFlightJobs(jobs), checkDuration(othersForMs) ?? 0),
     );
   }
 
@@ -99,6 +99,14 @@
     return this.held.size;
   }
 
+  /**
+   * Time for which all jobs are held, in milliseconds; 0 if only those are whose
+   * interruption is known.
+   */
+  get allHeldMs(): number {
+    return this.held.allForMs;
+  }
+
   /** Whether runs of an interrupted submission of a job may go on. */
   mayRun(jobId: JobId): boolean {
     return this.held.has(jobId);
@@ -186,11 +194,12 @@
    */
   recordLoss(instance: InstanceId): void {
     const forMs = this.opts.longestLeaseMs;
+    const othersForMs = Math.min(this.inFlight.droppedForMs(instance), forMs);
     const jobs = this.inFlight.take(instance).map(job => ({...job, forMs}));
     if (jobs.length > 0) {
       const fields = {peer: instance, jobs: jobs.length};
       this.opts.log.emit('jobsInterrupted', fields);
-      this.tellEntries(jobs);
+      this.tellEntries(jobs, othersForMs);
     }
     this.inFlightNotices.forEach(notices => notices.recordLoss(instance));
   }
@@ -256,17 +265,26 @@
   }
 
   /** Tells the linked entry instances, and state instances for the others. */
-  private tellEntries(jobs: readonly InFlightJob[]): void {
-    this.hold(jobs);
+  private tellEntries(jobs: readonly InFlightJob[], othersForMs = 0): void {
+    this.hold(jobs, othersForMs);
     this.interruptions.add(jobs);
+    if (othersForMs > 0) {
+      this.interruptions.addOthers(othersForMs);
+    }
   }
 
   /** Holds jobs, for no longer than a lease. */
-  private hold(jobs: readonly InFlightJob[]): void {
+  private hold(jobs: readonly InFlightJob[], othersForMs: number): void {
     const maxMs = this.opts.longestLeaseMs;
+    const areAllHeld = this.held.allForMs > 0;
     for (const job of jobs) {
       this.held.record({...job, forMs: Math.min(job.forMs, maxMs)});
     }
+    this.held.recordOthers(Math.min(othersForMs, maxMs));
+    const {allForMs} = this.held;
+    if (!areAllHeld && allForMs > 0) {
+      this.opts.log.emit('allJobsHeld', {forMs: Math.round(allForMs)});
+    }
   }
 }
 
--- a/packages/daemon/src/interrupted_jobs/notice_batcher.test.ts
+++ b/packages/daemon/src/interrupted_jobs/notice_batcher.test.ts
@@ -47,4 +47,16 @@
     await clock.advance(1);
     expect(sent).toEqual([[3, 4, 5, 6]]);
   });
+
+  it('passes on the items that it has dropped', () => {
+    const dropped: number[] = [];
+    const batcher = NoticeBatcher.create<number>(VirtualClock.create(), {
+      ...LIMITS,
+      send: () => undefined,
+      onDropped: items => dropped.push(...items),
+    });
+    batcher.add([1, 2, 3]);
+    batcher.add([4, 5, 6]);
+    expect(dropped).toEqual([1, 2]);
+  });
 });
--- a/packages/daemon/src/interrupted_jobs/notice_batcher.ts
+++ b/packages/daemon/src/interrupted_jobs/notice_batcher.ts
@@ -10,6 +10,7 @@
  */
 export class NoticeBatcher<T> {
   private items: T[] = [];
+  private isDue = false;
   /** Monotonic time up to which notices have used the allowed rate. */
   private usedUntilMs = -Infinity;
 
@@ -38,14 +39,23 @@
 
   /** Adds items to the next notice; the oldest are dropped if it is full. */
   add(items: Iterable<T>): void {
-    const isDue = this.items.length > 0;
     for (const item of items) {
       this.items.push(item);
     }
-    if (this.items.length > this.opts.maxItems) {
-      this.items = this.items.slice(-this.opts.maxItems);
+    const excess = this.items.length - this.opts.maxItems;
+    if (excess > 0) {
+      const dropped = this.items.splice(0, excess);
+      this.opts.onDropped?.(dropped);
     }
-    if (!isDue && this.items.length > 0) {
+    if (this.items.length > 0) {
+      this.request();
+    }
+  }
+
+  /** Has a notice sent, also without items. */
+  request(): void {
+    if (!this.isDue) {
+      this.isDue = true;
       void this.sendLater();
     }
   }
@@ -59,6 +69,7 @@
       Math.max(this.usedUntilMs, this.clock.now()) + intervalMs;
     const {items} = this;
     this.items = [];
+    this.isDue = false;
     send(items);
   }
 }
--- a/packages/daemon/src/interrupted_jobs/notice_batcher_options.ts
+++ b/packages/daemon/src/interrupted_jobs/notice_batcher_options.ts
@@ -10,6 +10,8 @@
   readonly burst: number;
   /** Most items in a notice. */
   readonly maxItems: number;
+  /** Called with the items that a full notice has no room for. */
+  readonly onDropped?: (items: readonly T[]) => void;
   /** Sends a notice. */
   readonly send: (items: readonly T[]) => void;
 }
--- a/packages/protocol/src/event_log/event_catalogue.ts
+++ b/packages/protocol/src/event_log/event_catalogue.ts
@@ -420,6 +420,11 @@
     level: 'info',
     text: 'instance is lost, and runs of its jobs may go on; the event has how many',
   },
+  allJobsHeld: {
+    number: 7016,
+    level: 'warn',
+    text: 'decision: all jobs are held, since more were interrupted at once than can be named; the event has how long',
+  },
   jobUnsupported: {
     number: 7009,
     level: 'warn',
--- a/packages/protocol/src/messages/peer_notices.ts
+++ b/packages/protocol/src/messages/peer_notices.ts
@@ -45,7 +45,14 @@
    * since. State instances pass it on to all entry instances; versions before it
    * ignore the notice.
    */
-  interruptedJobs: {readonly jobs: readonly InFlightJob[]};
+  interruptedJobs: {
+    readonly jobs: readonly InFlightJob[];
+    /**
+     * Time for which runs of other jobs may go on, which were too many to keep or
+     * to name, in milliseconds; absent if there are none.
+     */
+    readonly othersForMs?: number;
+  };
   /**
    * Tells entry instances that a target crashed under a task; versions before
    * it ignore the notice.
