Hold jobs until leases that outlast a loss have ended

Two runs of a task at the same time when an entry was killed while it was cut off from the scheduler of a job: its caller came back, the job was held for a lease (1,070 ms) and started, while the first run went on. That scheduler sees only the silence of the entry; if its stops are lost as well, the leases last until the time for which runs are permitted without a word of the entry, 1,250 ms with the stop.

A hold now lasts at most until then: the longer one of a lease and that time, which is derived from `callerResendMs` and stays 50 ms below it. It still ends when the end of the runs is told, so only a job whose runs nobody can tell of waits longer, by 180 ms. No message is added, and none changes; entries of versions before hold for a lease, as they did.

--- a/packages/daemon/src/entry_instance/_test/entry_group.ts
+++ b/packages/daemon/src/entry_instance/_test/entry_group.ts
@@ -10,7 +10,7 @@
 } from '@papayarun/protocol';
 import {SeededRandom} from '@papayarun/protocol';
 import type {TargetPort} from '@papayarun/scheduling';
-import {longestLeaseMs} from '@papayarun/scheduling';
+import {longestLeaseMs, runsEndAfterLossMs} from '@papayarun/scheduling';
 import type {MemoryNetworkEnd} from '@papayarun/test_kit';
 import {
   EmulatedTarget,
@@ -71,6 +71,8 @@
   private readonly entries = new Map<InstanceId, Entry>();
   private readonly targets = new Map<TargetId, EmulatedTarget>();
   private readonly relays = new Map<InstanceId, InterruptedJobRelay>();
+  /** Time at which a scheduler has last heard an entry, if they are cut off. */
+  private readonly lastHeardMs = new Map<string, number>();
   /** Entries with a data centre whose schedulers they can't reach. */
   private readonly unreachable = new Set<string>();
 
@@ -121,6 +123,16 @@
     this.unreachable.add(`${from} ${dataCentre}`);
   }
 
+  /**
+   * Cuts an entry off from the scheduler of another one, which notices neither
+   * the cut nor the end of the entry.
+   */
+  cutOff(entry: InstanceId, scheduler: InstanceId): void {
+    this.lastHeardMs.set(`${scheduler} ${entry}`, this.clock.now());
+    this.network.setCut(entry, scheduler, true);
+    this.network.setCut(scheduler, entry, true);
+  }
+
   /** Replaces the links of an entry, as when they were lost for a moment. */
   replaceLinks(id: InstanceId): void {
     for (const entry of this.entries.values()) {
@@ -141,7 +153,8 @@
     this.network.leave(id);
     await this.clock.sleep(MAX_NETWORK_DELAY_MS);
     for (const entry of this.entries.values()) {
-      if (!entry.isKilled) {
+      const isCutOff = this.lastHeardMs.has(`${entry.id} ${id}`);
+      if (!entry.isKilled && !isCutOff) {
         this.handleLinkDown(entry, id);
       }
     }
@@ -223,7 +236,7 @@
             },
           ]),
         ),
-      longestLeaseMs: longestLeaseMs(TIMING),
+      runsEndAfterMs: runsEndAfterLossMs(TIMING),
     });
     const submitter = JobSubmitter.create({
       self: id,
@@ -305,7 +318,8 @@
         recordFreeSlots: ignore,
       },
       loopLagMs: () => 0,
-      heardMs: () => this.clock.now(),
+      heardMs: requester =>
+        this.lastHeardMs.get(`${self} ${requester}`) ?? this.clock.now(),
       isHolderActive: () => false,
       catchUp: () => undefined,
       onLostSubmissionEnded: (jobId, submissionId) =>
--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -9,7 +9,11 @@
 import {dataCentreOfShard, shardIdOf} from '@papayarun/protocol';
 import type {ControlState, SchedulerGrant} from '@papayarun/releases';
 import {ControlStore} from '@papayarun/releases';
-import {longestLeaseMs, runPermissionEndMs} from '@papayarun/scheduling';
+import {
+  longestLeaseMs,
+  runPermissionEndMs,
+  runsEndAfterLossMs,
+} from '@papayarun/scheduling';
 import {ClusterNode} from '../cluster_node/cluster_node.js';
 import {InterruptedJobs} from '../interrupted_jobs/interrupted_jobs.js';
 import {afterReading} from '../loop_lag/after_reading.js';
@@ -326,7 +330,7 @@
         return [...peers.keys()].sort((a, b) => isRemote(a) - isRemote(b));
       },
       inFlightKeepers: () => inFlightKeepersOf(membership, network),
-      longestLeaseMs: longestLeaseMs(timing),
+      runsEndAfterMs: runsEndAfterLossMs(timing),
     });
   }
 
--- a/packages/daemon/src/entry_instance/job_submitter.test.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.test.ts
@@ -167,7 +167,7 @@
       entries: () => new Map(),
       stateInstances: () => [],
       inFlightKeepers: () => new Map(),
-      longestLeaseMs: LEASE_MS,
+      runsEndAfterMs: LEASE_MS,
     });
   }
 
--- a/packages/daemon/src/interrupted_jobs/dropped_interruptions.test.ts
+++ b/packages/daemon/src/interrupted_jobs/dropped_interruptions.test.ts
@@ -60,7 +60,7 @@
       entries: () => new Map(),
       stateInstances: () => [STATE],
       inFlightKeepers: () => new Map(),
-      longestLeaseMs: LEASE_MS,
+      runsEndAfterMs: LEASE_MS,
     });
   }
 
--- a/packages/daemon/src/interrupted_jobs/in_flight_backups.test.ts
+++ b/packages/daemon/src/interrupted_jobs/in_flight_backups.test.ts
@@ -49,7 +49,7 @@
       new Map(ENTRIES.map(id => [id as InstanceId, dataCentreOf(id)])),
     stateInstances: () => [...keepers().keys()],
     inFlightKeepers: keepers,
-    longestLeaseMs: LEASE_MS,
+    runsEndAfterMs: LEASE_MS,
   });
 }
 
--- a/packages/daemon/src/interrupted_jobs/interrupted_jobs.test.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_jobs.test.ts
@@ -74,7 +74,7 @@
         entries: () => links,
         stateInstances: () => [STATE],
         inFlightKeepers: () => new Map(),
-        longestLeaseMs: LEASE_MS,
+        runsEndAfterMs: LEASE_MS,
       }),
     );
   }
--- a/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
@@ -142,9 +142,9 @@
    * @returns Name of the submission.
    */
   recordSubmission({id, leftMs}: ScheduledJob): SubmissionId {
-    const {clock, longestLeaseMs, self} = this.opts;
+    const {clock, runsEndAfterMs, self} = this.opts;
     const submissionId = `${self}/${this.submissionCount++}` as SubmissionId;
-    const untilMs = clock.now() + leftMs + longestLeaseMs;
+    const untilMs = clock.now() + leftMs + runsEndAfterMs;
     this.own.set(submissionId, {
       jobId: id,
       untilMs,
@@ -160,11 +160,11 @@
     if (submission) {
       submission.isInterrupted = true;
     }
-    const forMs = this.opts.longestLeaseMs;
+    const forMs = this.opts.runsEndAfterMs;
     this.tellEntries([{jobId, submissionId, forMs}]);
   }
 
-  /** Records that a submission has ended, and its runs go on for a lease. */
+  /** Records that a submission has ended, and its runs go on for a while. */
   recordLeftRuns(jobId: JobId, submissionId: SubmissionId): void {
     this.recordInterruption(jobId, submissionId);
     this.own.delete(submissionId);
@@ -193,7 +193,7 @@
    * @param instance - The instance.
    */
   recordLoss(instance: InstanceId): void {
-    const forMs = this.opts.longestLeaseMs;
+    const forMs = this.opts.runsEndAfterMs;
     const othersForMs = Math.min(this.inFlight.droppedForMs(instance), forMs);
     const jobs = this.inFlight.take(instance).map(job => ({...job, forMs}));
     if (jobs.length > 0) {
@@ -208,13 +208,13 @@
     backups: () => readonly InstanceId[],
     intervalMs: () => number,
   ): InFlightNotices {
-    const {clock, longestLeaseMs, network} = this.opts;
+    const {clock, runsEndAfterMs, network} = this.opts;
     return InFlightNotices.create({
       clock,
       network,
       backups,
       intervalMs,
-      runsEndAfterMs: longestLeaseMs,
+      runsEndAfterMs,
       submissions: () => this.own.keys(),
       inFlight: ids => this.inFlightJobs(ids),
     });
@@ -273,9 +273,9 @@
     }
   }
 
-  /** Holds jobs, for no longer than a lease. */
+  /** Holds jobs, for no longer than their runs go on after a loss. */
   private hold(jobs: readonly InFlightJob[], othersForMs: number): void {
-    const maxMs = this.opts.longestLeaseMs;
+    const maxMs = this.opts.runsEndAfterMs;
     const areAllHeld = this.held.allForMs > 0;
     for (const job of jobs) {
       this.held.record({...job, forMs: Math.min(job.forMs, maxMs)});
--- a/packages/daemon/src/interrupted_jobs/interrupted_jobs_options.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_jobs_options.ts
@@ -24,6 +24,9 @@
   readonly stateInstances: () => readonly InstanceId[];
   /** Those that keep jobs in flight. */
   readonly inFlightKeepers: () => ReadonlyMap<InstanceId, InFlightKeeper>;
-  /** Longest time for which runs of a lost instance go on, in milliseconds. */
-  readonly longestLeaseMs: number;
+  /**
+   * Time after the loss of an instance by which the runs of its jobs, or of its
+   * scheduler, have ended, in milliseconds.
+   */
+  readonly runsEndAfterMs: number;
 }
--- a/packages/daemon/src/interrupted_jobs/interruption_notices.test.ts
+++ b/packages/daemon/src/interrupted_jobs/interruption_notices.test.ts
@@ -37,7 +37,7 @@
       entries: () => new Map(),
       stateInstances: () => [STATE_1, STATE_2],
       inFlightKeepers: () => new Map(),
-      longestLeaseMs: LEASE_MS,
+      runsEndAfterMs: LEASE_MS,
     });
   for (const id of [STATE_1, STATE_2]) {
     InterruptedJobRelay.create({
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -11,6 +11,7 @@
 export * from './response_times/response_times.js';
 export * from './run_time_estimator/run_time_estimator.js';
 export * from './run_permission/run_permission_end_ms.js';
+export * from './runs_end_after_loss/runs_end_after_loss_ms.js';
 export * from './scheduler/forecast.js';
 export * from './scheduler/scheduler.js';
 export * from './scheduler/scheduler_options.js';
