Start no waiting task while interrupted runs of its job may go on

Two runs of a task at the same time when a caller was back before its entry had heard of the interruption: the job was accepted, waited for a target, and was started although the notice had come meanwhile. A caller needs some 7 ms, a notice up to an interval of the batch longer.

A scheduler, which hears the notices as all entries do, now asks before it places waiting tasks whether runs of another submission of the job may go on, and looks again each 20 ms. It doesn't wait for the submissions that it has itself, whose runs it knows, nor for those of an instance that waits for the job here: they may be told of for a lost link alone. A task that has started before the notice goes on, as before.

No message is added or changed.

--- a/packages/daemon/src/entry_instance/_test/entry_group.ts
+++ b/packages/daemon/src/entry_instance/_test/entry_group.ts
@@ -248,7 +248,8 @@
       keepAliveMs: 300,
       loopLagMs: () => 0,
       longestLeaseMs: longestLeaseMs(TIMING),
-      schedule: (shard, job) => schedulers.submit(id, shard, job),
+      schedule: (shard, job, submissionId) =>
+        schedulers.submit(id, shard, job, false, submissionId),
       quote: (shard, job) => schedulers.quote(shard, job),
       cancel: jobId => schedulers.cancel(id, jobId, 'notice'),
       recordRunTime: () => undefined,
@@ -322,6 +323,8 @@
         this.lastHeardMs.get(`${self} ${requester}`) ?? this.clock.now(),
       isHolderActive: () => false,
       catchUp: () => undefined,
+      otherRunsForMs: (jobId, isKnown) =>
+        this.entries.get(self)!.interrupted.otherRunsForMs(jobId, isKnown),
       onLostSubmissionEnded: (jobId, submissionId) =>
         this.entries.get(self)!.interrupted.recordEnd(jobId, submissionId),
       onTaskLost: ignore,
--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -71,6 +71,8 @@
       heardMs: requester => this.heardMs(requester),
       isHolderActive: grant => this.isHolderActive(grant),
       catchUp: () => this.node.loopLag.catchUp(),
+      otherRunsForMs: (jobId, isKnown) =>
+        this.interrupted.otherRunsForMs(jobId, isKnown),
       onLostSubmissionEnded: (jobId, submissionId) =>
         this.interrupted.recordEnd(jobId, submissionId),
       onTaskLost: loss => this.tellEntries(loss),
@@ -305,7 +307,8 @@
       keepAliveMs: this.opts.cfg.heartbeatMs,
       loopLagMs: () => this.node.loopLag.lagMs,
       longestLeaseMs: longestLeaseMs(this.opts.timing),
-      schedule: (shard, job) => this.schedulers.submit(self, shard, job),
+      schedule: (shard, job, submissionId) =>
+        this.schedulers.submit(self, shard, job, false, submissionId),
       quote: (shard, job) => this.schedulers.quote(shard, job),
       cancel: jobId => this.schedulers.cancel(self, jobId, 'notice'),
       interrupted: this.interrupted,
--- a/packages/daemon/src/entry_instance/job_submitter.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.ts
@@ -277,7 +277,7 @@
     try {
       outcome =
         instanceId === this.opts.self
-          ? await this.opts.schedule(scheduler.shard, job)
+          ? await this.opts.schedule(scheduler.shard, job, submissionId)
           : await this.submitToPeer(scheduler, job, submissionId);
       return outcome;
     } finally {
--- a/packages/daemon/src/entry_instance/job_submitter_options.ts
+++ b/packages/daemon/src/entry_instance/job_submitter_options.ts
@@ -10,6 +10,7 @@
   RunTimeSample,
   ScheduledJob,
   ShardId,
+  SubmissionId,
 } from '@papayarun/protocol';
 import type {InterruptedJobs} from '../interrupted_jobs/interrupted_jobs.js';
 import type {SchedulerFinder} from './scheduler_finder.js';
@@ -34,7 +35,11 @@
   readonly loopLagMs: () => number;
   readonly interrupted: InterruptedJobs;
   /** Runs a job on a shard that this instance schedules. */
-  readonly schedule: (shard: ShardId, job: ScheduledJob) => Promise<JobOutcome>;
+  readonly schedule: (
+    shard: ShardId,
+    job: ScheduledJob,
+    submissionId: SubmissionId,
+  ) => Promise<JobOutcome>;
   /** Quotes a job on a shard that this instance schedules. */
   readonly quote: (shard: ShardId, job: ScheduledJob) => JobQuote;
   /** Cancels a job that this instance submitted to its own scheduler. */
--- a/packages/daemon/src/entry_instance/local_schedulers.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.ts
@@ -21,6 +21,7 @@
   RunTimeEstimator,
   Scheduler,
 } from '@papayarun/scheduling';
+import {instanceOfSubmission} from '../interrupted_jobs/instance_of_submission.js';
 import {mayRunOn} from '../interrupted_jobs/may_run_on.js';
 import type {LocalSchedulersOptions} from './local_schedulers_options.js';
 import type {WithdrawalCause} from './withdrawal_cause.js';
@@ -66,6 +67,9 @@
     Map<JobId, Set<Submission>>
   >();
 
+  /** Shards and names of all submissions without an outcome. */
+  private readonly unended = new Set<string>();
+
   private constructor(private readonly opts: LocalSchedulersOptions) {
     this.crashes = CrashEvidence.create(opts.onTaskLost);
   }
@@ -150,6 +154,8 @@
       isRequesterLost: false,
     };
     byJob.set(job.id, submissions.add(submission));
+    const name = `${shard} ${submissionId}`;
+    this.unended.add(name);
     try {
       const outcome = await scheduler.submit(job, requester);
       if (submission.isRequesterLost && submissionId && !mayRunOn(outcome)) {
@@ -157,6 +163,7 @@
       }
       return outcome;
     } finally {
+      this.unended.delete(name);
       submissions.delete(submission);
       if (submissions.size === 0 && byJob.get(job.id) === submissions) {
         byJob.delete(job.id);
@@ -245,6 +252,21 @@
     return latestMs;
   }
 
+  /**
+   * Time for which runs of a job may go on that its scheduler here doesn't know of,
+   * in milliseconds. What is told of other submissions of an instance that waits
+   * for the job may be due to the loss of a link; it waits itself for what they
+   * have left.
+   */
+  private otherRunsForMs(shard: ShardId, jobId: JobId): number {
+    const waiting = [...(this.submissions.get(shard)?.get(jobId) ?? [])];
+    const requesters = new Set(waiting.map(({requester}) => requester));
+    const isKnown = (submissionId: SubmissionId): boolean =>
+      requesters.has(instanceOfSubmission(submissionId)) ||
+      this.unended.has(`${shard} ${submissionId}`);
+    return this.opts.otherRunsForMs?.(jobId, isKnown) ?? 0;
+  }
+
   /** Instances that wait for jobs and send something while they do. */
   keptAliveRequesters(): Set<InstanceId> {
     const requesters = new Set<InstanceId>();
@@ -370,6 +392,7 @@
         estimator: this.estimator,
         crashes: this.crashes,
         requesterHeardMs: jobId => this.requesterHeardMs(shard, jobId),
+        otherRunsForMs: jobId => this.otherRunsForMs(shard, jobId),
         isFormerActive: () => this.isFormerActive(shard),
         shardCount: () => Object.keys(store.state.schedulers).length,
         ownsTarget: targetId => {
--- a/packages/daemon/src/entry_instance/local_schedulers_options.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers_options.ts
@@ -39,6 +39,14 @@
    * undefined unless it runs late.
    */
   readonly catchUp: () => Promise<void> | undefined;
+  /**
+   * Time for which runs of a job may go on that are not known here, in
+   * milliseconds.
+   */
+  readonly otherRunsForMs?: (
+    jobId: JobId,
+    isKnown: (submissionId: SubmissionId) => boolean,
+  ) => number;
   /** Called when the runs of a submission have ended whose requester was lost. */
   readonly onLostSubmissionEnded: (
     jobId: JobId,
--- a/packages/daemon/src/interrupted_jobs/held_jobs.ts
+++ b/packages/daemon/src/interrupted_jobs/held_jobs.ts
@@ -20,6 +20,7 @@
 
 interface Submission {
   readonly jobId: JobId;
+  readonly submissionId: SubmissionId;
   /** Monotonic time by which its runs have ended, in milliseconds. */
   untilMs: number;
 }
@@ -81,7 +82,7 @@
       this.ended.set(submissionId, nowMs + END_KEPT_MS);
     } else if (!this.ended.has(submissionId)) {
       const known = this.submissions.get(submissionId);
-      const submission = known ?? {jobId, untilMs: 0};
+      const submission = known ?? {jobId, submissionId, untilMs: 0};
       submission.untilMs = Math.max(submission.untilMs, nowMs + forMs);
       this.submissions.delete(submissionId);
       this.submissions.set(submissionId, submission);
@@ -111,6 +112,26 @@
       }));
   }
 
+  /**
+   * Time for which runs of interrupted submissions of a job may go on.
+   *
+   * @param jobId - The job.
+   * @param isKnown - Whether a submission doesn't count, since more is known of it.
+   * @returns Time in milliseconds; 0 for none.
+   */
+  forMs(
+    jobId: JobId,
+    isKnown: (submissionId: SubmissionId) => boolean = () => false,
+  ): number {
+    let forMs = 0;
+    for (const {submissionId, untilMs} of this.byJob.get(jobId) ?? []) {
+      if (!isKnown(submissionId)) {
+        forMs = Math.max(forMs, untilMs - this.clock.now());
+      }
+    }
+    return forMs;
+  }
+
   /** Whether runs of an interrupted submission of a job may go on. */
   has(jobId: JobId): boolean {
     return this.leftMs(jobId) > 0;
@@ -142,11 +163,7 @@
 
   /** Time for which runs of a job may go on, in milliseconds; 0 for none. */
   private leftMs(jobId: JobId): number {
-    let leftMs = this.allForMs;
-    for (const {untilMs} of this.byJob.get(jobId) ?? []) {
-      leftMs = Math.max(leftMs, untilMs - this.clock.now());
-    }
-    return leftMs;
+    return Math.max(this.allForMs, this.forMs(jobId));
   }
 
   private forgetOld(): void {
--- a/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
@@ -15,6 +15,7 @@
 import type {InterruptedJobsOptions} from './interrupted_jobs_options.js';
 import {InterruptionSender} from './interruption_sender.js';
 import {selectBackups} from './select_backups.js';
+import {submissionIdOf} from './submission_id_of.js';
 
 /** Interval of the notices to other entry instances, in milliseconds. */
 const IN_FLIGHT_INTERVAL_MS = 5;
@@ -112,6 +113,20 @@
     return this.held.has(jobId);
   }
 
+  /**
+   * Time for which runs of a job may go on that a scheduler doesn't know of.
+   *
+   * @param jobId - The job.
+   * @param isKnown - Whether it knows the runs of a submission.
+   * @returns Time in milliseconds; 0 for none.
+   */
+  otherRunsForMs(
+    jobId: JobId,
+    isKnown: (submissionId: SubmissionId) => boolean,
+  ): number {
+    return this.held.forMs(jobId, isKnown);
+  }
+
   /**
    * Waits until no run of an interrupted submission of a job goes on, for at most
    * as long as its caller waits for the answer.
@@ -143,7 +158,7 @@
    */
   recordSubmission({id, leftMs}: ScheduledJob): SubmissionId {
     const {clock, runsEndAfterMs, self} = this.opts;
-    const submissionId = `${self}/${this.submissionCount++}` as SubmissionId;
+    const submissionId = submissionIdOf(self, this.submissionCount++);
     const untilMs = clock.now() + leftMs + runsEndAfterMs;
     this.own.set(submissionId, {
       jobId: id,
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -76,6 +76,11 @@
  * removed, in milliseconds.
  */
 const TARGET_EXPIRY_MS = 10_000;
+/**
+ * Interval at which jobs are tried again whose runs elsewhere may go on, in
+ * milliseconds.
+ */
+const OTHER_RUN_CHECK_MS = 20;
 /** Most run time samples in an outcome. */
 const MAX_OUTCOME_SAMPLES = 2;
 /**
@@ -120,6 +125,7 @@
   /** Monotonic time at which the latest new target was added. */
   private lastTargetAddedMs = -Infinity;
   private isPlacementDue = false;
+  private isOtherRunCheckDue = false;
   /** Whether a target gets no new run until those that wait for one are heard. */
   private isLeaseShort = false;
 
@@ -658,6 +664,10 @@
         this.isLeaseShort = true;
         continue;
       }
+      if ((this.opts.otherRunsForMs?.(record.job.id) ?? 0) > 0) {
+        void this.placeAfterOtherRuns();
+        continue;
+      }
       const urgentSlots = this.loadMeter.loadAbove(record.job.priority, nowMs);
       const reserved = reservedSlots({
         urgentSlots,
@@ -684,6 +694,16 @@
     this.waiting = this.waiting.filter(hasUnplacedTask);
   }
 
+  /** Places waiting tasks again until runs elsewhere have ended. */
+  private async placeAfterOtherRuns(): Promise<void> {
+    if (!this.isOtherRunCheckDue) {
+      this.isOtherRunCheckDue = true;
+      await this.opts.clock.sleep(OTHER_RUN_CHECK_MS);
+      this.isOtherRunCheckDue = false;
+      this.schedulePlacement();
+    }
+  }
+
   private availableCandidates(): SessionCandidate[] {
     const candidates: SessionCandidate[] = [];
     this.isLeaseShort = false;
--- a/packages/scheduling/src/scheduler/scheduler_options.ts
+++ b/packages/scheduling/src/scheduler/scheduler_options.ts
@@ -44,6 +44,11 @@
    * nobody waits for the job.
    */
   readonly requesterHeardMs?: (jobId: JobId) => number | undefined;
+  /**
+   * Time for which runs of a job may go on that this scheduler doesn't know of, in
+   * milliseconds; absent if there are none.
+   */
+  readonly otherRunsForMs?: (jobId: JobId) => number;
   /**
    * Resolves once this process has read the messages that have arrived;
    * undefined unless it runs late.
