Remember a removed target while its late announcements may arrive

Cause: TargetRegistry deleted the record of a target 3 s after its last announcement, and with it the boot and sequence number that tell a stale announcement, the earlier boots, and the requests in flight.

Evidence: target_registry.test.ts, 3 tests red before: 'ignores a late announcement of a target that has left and was removed', 'ignores a late announcement of a process whose successor was removed', 'counts the requests in flight of a target that was silent and is heard again'.

Why this works: the record is kept for a minute more, the longest time for which a request may run. The same process gets its record back; another process of the target gets a new one that knows the earlier boots. Within the minute only announcements that are stale by boot or sequence number are ignored, as before the removal. Nothing in messages or storage changes.

--- a/packages/dispatch/src/target_registry/target_record.ts
+++ b/packages/dispatch/src/target_registry/target_record.ts
@@ -21,5 +21,5 @@
   /** Monotonic time until which a busy target gets no work, in milliseconds. */
   busyUntilMs: number;
   /** Earlier boots of the target, whose late announcements are ignored as stale. */
-  readonly pastBoots: string[];
+  pastBoots: readonly string[];
 }
--- a/packages/dispatch/src/target_registry/target_registry.test.ts
+++ b/packages/dispatch/src/target_registry/target_registry.test.ts
@@ -90,6 +90,57 @@
     expect(registry.all()).toEqual([]);
   });
 
+  it('ignores a late announcement of a target that has left and was removed', async () => {
+    const {registry, clock} = new Fixture();
+    registry.accept(announcement(7));
+    registry.accept(announcement(9, {state: 'leaving'}));
+    await clock.advance(TIMEOUT_MS + 1);
+    registry.sweep();
+    expect(registry.accept(announcement(8))).toBe(false);
+    expect(registry.all()).toEqual([]);
+  });
+
+  it('ignores a late announcement of a process whose successor was removed', async () => {
+    const {registry, clock} = new Fixture();
+    registry.accept(announcement(1));
+    registry.accept(announcement(1, {boot: 'b2', state: 'leaving'}));
+    await clock.advance(TIMEOUT_MS + 1);
+    registry.sweep();
+    expect(registry.accept(announcement(2))).toBe(false);
+    expect(registry.all()).toEqual([]);
+  });
+
+  it('counts the requests in flight of a target that was silent and is heard again', async () => {
+    const {registry, clock} = new Fixture();
+    registry.accept(announcement(1));
+    registry.all()[0]!.inFlight = 3;
+    await clock.advance(TIMEOUT_MS + 1);
+    registry.sweep();
+    expect(registry.accept(announcement(2))).toBe(true);
+    expect(registry.all()[0]!).toMatchObject({inFlight: 3, kept: true});
+  });
+
+  it('counts no requests of an earlier process for a target that returns', async () => {
+    const {registry, clock} = new Fixture();
+    registry.accept(announcement(1));
+    registry.all()[0]!.inFlight = 3;
+    await clock.advance(TIMEOUT_MS + 1);
+    registry.sweep();
+    expect(registry.accept(announcement(1, {boot: 'b2'}))).toBe(true);
+    expect(registry.all()[0]!.inFlight).toBe(0);
+    expect(registry.accept(announcement(2))).toBe(false);
+  });
+
+  it('forgets a removed target after a while', async () => {
+    const {registry, clock} = new Fixture();
+    registry.accept(announcement(5));
+    await clock.advance(TIMEOUT_MS + 1);
+    registry.sweep();
+    await clock.advance(60_001);
+    registry.sweep();
+    expect(registry.accept(announcement(4))).toBe(true);
+  });
+
   it('hands a target over before it stops keeping it, and keeps its targets while it drains', async () => {
     const fixture = new Fixture();
     const ids = Array.from({length: 40}, (_, n) => `t${n}` as TargetId);
--- a/packages/dispatch/src/target_registry/target_registry.ts
+++ b/packages/dispatch/src/target_registry/target_registry.ts
@@ -6,6 +6,11 @@
 
 /** Earlier boots remembered per target. */
 const MAX_PAST_BOOTS = 4;
+/**
+ * Time for which the record of a removed target is kept, in milliseconds: late
+ * announcements may still arrive, and its requests may still run.
+ */
+const REMOVED_TTL_MS = 60_000;
 const NO_RESOURCES = {cores: 0, memoryMb: 0, accelerators: 0};
 
 /**
@@ -17,6 +22,10 @@
  */
 export class TargetRegistry {
   private readonly records = new Map<TargetId, TargetRecord>();
+  private readonly removed = new Map<
+    TargetId,
+    {readonly record: TargetRecord; readonly removedMs: number}
+  >();
   private readonly listeners: Array<(record: TargetRecord) => void> = [];
 
   private constructor(private readonly opts: TargetRegistryOptions) {}
@@ -53,31 +62,15 @@
    * @returns False when it is stale and was ignored.
    */
   accept(announcement: Announcement): boolean {
-    const id = announcement.targetId;
-    const existing = this.records.get(id);
+    const existing = this.records.get(announcement.targetId);
     if (!existing) {
-      const record: TargetRecord = {
-        id,
-        announcement,
-        lastAnnouncedMs: this.opts.clock.now(),
-        kept: this.isKeeperOf(id),
-        handoverStartedMs: undefined,
-        health: HEALTHY,
-        inFlight: 0,
-        placed: NO_RESOURCES,
-        busyUntilMs: 0,
-        pastBoots: [],
-      };
-      this.records.set(id, record);
-      this.notifyListeners(record);
-      return true;
+      return this.add(announcement);
     }
     if (isStale(existing, announcement)) {
       return false;
     }
     if (existing.announcement.boot !== announcement.boot) {
-      existing.pastBoots.push(existing.announcement.boot);
-      existing.pastBoots.splice(0, existing.pastBoots.length - MAX_PAST_BOOTS);
+      existing.pastBoots = bootsOf(existing);
       existing.health = HEALTHY;
     }
     existing.announcement = announcement;
@@ -87,15 +80,45 @@
     return true;
   }
 
+  /**
+   * Adds a target, unless the announcement is stale and the target was removed
+   * lately.
+   */
+  private add(announcement: Announcement): boolean {
+    const id = announcement.targetId;
+    const removed = this.removed.get(id)?.record;
+    if (removed && isStale(removed, announcement)) {
+      return false;
+    }
+    this.removed.delete(id);
+    const record =
+      removed?.announcement.boot === announcement.boot
+        ? removed
+        : newRecord(announcement, removed ? bootsOf(removed) : []);
+    record.announcement = announcement;
+    record.lastAnnouncedMs = this.opts.clock.now();
+    record.kept = this.isKeeperOf(id);
+    record.handoverStartedMs = undefined;
+    this.records.set(id, record);
+    this.notifyListeners(record);
+    return true;
+  }
+
   /**
    * Removes targets without recent announcements, updates which targets this
    * instance keeps, and ends ejections whose time is over.
    */
   sweep(): void {
     const nowMs = this.opts.clock.now();
+    for (const [id, {removedMs}] of this.removed) {
+      if (nowMs - removedMs > REMOVED_TTL_MS) {
+        this.removed.delete(id);
+      }
+    }
     for (const record of [...this.records.values()]) {
       if (nowMs - record.lastAnnouncedMs > this.opts.timeoutMs) {
         this.records.delete(record.id);
+        this.removed.set(record.id, {record, removedMs: nowMs});
         record.kept = false;
         this.notifyListeners(record);
         continue;
@@ -170,6 +193,29 @@
   }
 }
 
+function newRecord(
+  announcement: Announcement,
+  pastBoots: readonly string[],
+): TargetRecord {
+  return {
+    id: announcement.targetId,
+    announcement,
+    lastAnnouncedMs: 0,
+    kept: false,
+    handoverStartedMs: undefined,
+    health: HEALTHY,
+    inFlight: 0,
+    placed: NO_RESOURCES,
+    busyUntilMs: 0,
+    pastBoots,
+  };
+}
+
+/** Boots of a target up to its present one, the latest last. */
+function bootsOf({announcement, pastBoots}: TargetRecord): string[] {
+  return [...pastBoots, announcement.boot].slice(-MAX_PAST_BOOTS);
+}
+
 function isStale(existing: TargetRecord, announcement: Announcement): boolean {
   if (existing.announcement.boot === announcement.boot) {
     return announcement.seq <= existing.announcement.seq;
