Name a job in flight before its first run is ordered

Cause: the job was named to the backups 1 ms after its submission, so that those that are refused at once aren't named at all; its run was ordered before. If the scheduler was of another entry, that one knew of the submission and its lost requester, and told nobody.

The notice now leaves before the first order, once the scheduler has admitted the job, as far as its rate allows. A scheduler tells the entries when the requester of a submission is lost, as it does when the runs have ended. Jobs that are refused at once still cause no message.

What a killed process has sent now arrives in the group of entries, as it does on a connection. No message has changed.

--- a/packages/daemon/src/entry_instance/_test/entry_group.ts
+++ b/packages/daemon/src/entry_instance/_test/entry_group.ts
@@ -147,11 +147,16 @@
     }
   }
 
-  /** Ends the process of an entry; the others lose their links to it. */
+  /**
+   * Ends the process of an entry; the others receive what it has sent and lose
+   * their links to it.
+   */
   async kill(id: InstanceId): Promise<void> {
-    this.entries.get(id)!.isKilled = true;
-    this.network.leave(id);
+    const killed = this.entries.get(id)!;
+    killed.isKilled = true;
+    killed.network.end();
     await this.clock.sleep(MAX_NETWORK_DELAY_MS);
+    this.network.leave(id);
     for (const entry of this.entries.values()) {
       const isCutOff = this.lastHeardMs.has(`${entry.id} ${id}`);
       if (!entry.isKilled && !isCutOff) {
@@ -325,6 +330,11 @@
       catchUp: () => undefined,
       otherRunsForMs: (jobId, isKnown) =>
         this.entries.get(self)!.interrupted.otherRunsForMs(jobId, isKnown),
+      onAdmitted: () => this.entries.get(self)!.interrupted.recordAdmission(),
+      onRequesterLost: (jobId, submissionId) =>
+        this.entries
+          .get(self)!
+          .interrupted.recordLostRequester(jobId, submissionId),
       onLostSubmissionEnded: (jobId, submissionId) =>
         this.entries.get(self)!.interrupted.recordEnd(jobId, submissionId),
       onTaskLost: ignore,
@@ -362,22 +372,31 @@
     });
   }
 
-  /** Orders of an entry, which nothing sends or answers once it is killed. */
+  /**
+   * Orders of an entry, which nothing sends or answers once it is killed. Orders
+   * to start that it has sent arrive.
+   */
   private port(self: InstanceId): TargetPort {
-    const pass = async (delayMs: number): Promise<void> => {
-      await this.clock.sleep(delayMs);
+    const stopIfKilled = async (): Promise<void> => {
       if (this.entries.get(self)!.isKilled) {
         await new Promise<never>(() => undefined);
       }
     };
+    const pass = async (delayMs: number): Promise<void> => {
+      await this.clock.sleep(delayMs);
+      await stopIfKilled();
+    };
     return {
       start: async (to, {taskId, run, token, leaseEndMs}) => {
-        await pass(1);
+        await stopIfKilled();
+        await this.clock.sleep(1);
         if ([...this.targets.values()].some(t => t.isRunning(taskId))) {
           this.concurrentRuns.push(taskId);
         }
         const target = this.targets.get(to.targetId)!;
-        return target.start(taskId, run, NEEDS.cores, token, leaseEndMs);
+        const res = target.start(taskId, run, NEEDS.cores, token, leaseEndMs);
+        await stopIfKilled();
+        return res;
       },
       stop: async (to, {taskId, run, token}) => {
         await pass(ORDER_DELAY_MS);
--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -73,6 +73,9 @@
       catchUp: () => this.node.loopLag.catchUp(),
       otherRunsForMs: (jobId, isKnown) =>
         this.interrupted.otherRunsForMs(jobId, isKnown),
+      onAdmitted: () => this.interrupted.recordAdmission(),
+      onRequesterLost: (jobId, submissionId) =>
+        this.interrupted.recordLostRequester(jobId, submissionId),
       onLostSubmissionEnded: (jobId, submissionId) =>
         this.interrupted.recordEnd(jobId, submissionId),
       onTaskLost: loss => this.tellEntries(loss),
--- a/packages/daemon/src/entry_instance/local_schedulers.test.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.test.ts
@@ -84,6 +84,8 @@
       heardMs: () => undefined,
       isHolderActive: () => false,
       catchUp: () => undefined,
+      onAdmitted: ignore,
+      onRequesterLost: ignore,
       onLostSubmissionEnded: ignore,
       onTaskLost: ignore,
     };
--- a/packages/daemon/src/entry_instance/local_schedulers.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.ts
@@ -40,6 +40,7 @@
   readonly job: ScheduledJob;
   /** Monotonic time of the submission, in milliseconds. */
   readonly atMs: number;
+  readonly submissionId: SubmissionId | undefined;
   /** Whether the requester sends something while it waits. */
   readonly isKeptAlive: boolean;
   /** Whether it was cancelled since the requester was lost. */
@@ -150,6 +151,7 @@
       requester,
       job,
       atMs,
+      submissionId,
       isKeptAlive,
       isRequesterLost: false,
     };
@@ -157,7 +159,11 @@
     const name = `${shard} ${submissionId}`;
     this.unended.add(name);
     try {
-      const outcome = await scheduler.submit(job, requester);
+      const outcome = await scheduler.submit(job, requester, () => {
+        if (requester === this.opts.self) {
+          this.opts.onAdmitted();
+        }
+      });
       if (submission.isRequesterLost && submissionId && !mayRunOn(outcome)) {
         this.opts.onLostSubmissionEnded(job.id, submissionId);
       }
@@ -213,8 +219,12 @@
         submission => submission.requester === requester,
       );
       for (const submission of cancelled) {
-        submission.isRequesterLost = cause !== 'notice';
         submissions.delete(submission);
+        submission.isRequesterLost = cause !== 'notice';
+        const {isRequesterLost, submissionId} = submission;
+        if (isRequesterLost && submissionId) {
+          this.opts.onRequesterLost(jobId, submissionId);
+        }
       }
       if (cancelled.length > 0) {
         this.opts.log.emit('submissionWithdrawn', {
--- a/packages/daemon/src/entry_instance/local_schedulers_options.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers_options.ts
@@ -47,6 +47,10 @@
     jobId: JobId,
     isKnown: (submissionId: SubmissionId) => boolean,
   ) => number;
+  /** Called before the first run of a submission of this instance starts. */
+  readonly onAdmitted: () => void;
+  /** Called when the requester of a submission is lost. */
+  readonly onRequesterLost: (jobId: JobId, submissionId: SubmissionId) => void;
   /** Called when the runs of a submission have ended whose requester was lost. */
   readonly onLostSubmissionEnded: (
     jobId: JobId,
--- a/packages/daemon/src/entry_instance/returning_callers.test.ts
+++ b/packages/daemon/src/entry_instance/returning_callers.test.ts
@@ -234,6 +234,33 @@
       expect(group.concurrentRuns).toEqual([]);
     });
 
+    it('does not get its job run beside a run that was ordered as its entry was killed', async () => {
+      const group = createGroup();
+      await group.clock.advance(50);
+      group.submit(CENTRO_1);
+      await group.clock.advance(0);
+      void group.kill(CENTRO_1);
+      await group.clock.advance(RETURN_MS);
+      group.submit(SERRA_1);
+      await group.clock.advance(RUN_MS);
+      expect(group.startsOf(JOB)).toBeGreaterThan(0);
+      expect(group.concurrentRuns).toEqual([]);
+    });
+
+    it('does not get its job run beside a run that was ordered for an entry as it was killed', async () => {
+      const group = createGroup();
+      group.hide(CENTRO, CENTRO_2);
+      await group.clock.advance(50);
+      group.submit(CENTRO_2);
+      await group.clock.advance(0);
+      void group.kill(CENTRO_2);
+      await group.clock.advance(RETURN_MS);
+      group.submit(CENTRO_1);
+      await group.clock.advance(RUN_MS + 2_000);
+      expect(group.startsOf(JOB)).toBeGreaterThan(2);
+      expect(group.concurrentRuns).toEqual([]);
+    });
+
     it('does not get its job run beside the runs of an entry killed at once', async () => {
       const group = createGroup();
       await group.clock.advance(50);
--- a/packages/daemon/src/entry_instance/silent_requesters.test.ts
+++ b/packages/daemon/src/entry_instance/silent_requesters.test.ts
@@ -185,6 +185,8 @@
         clock.now() - this.readUpToMs > 2 * READ_INTERVAL_MS
           ? afterReading()
           : undefined,
+      onAdmitted: ignore,
+      onRequesterLost: ignore,
       onLostSubmissionEnded: ignore,
       onTaskLost: ignore,
     });
--- a/packages/daemon/src/interrupted_jobs/in_flight_notices.ts
+++ b/packages/daemon/src/interrupted_jobs/in_flight_notices.ts
@@ -51,6 +51,11 @@
     this.batcher.add([submissionId]);
   }
 
+  /** Names the submissions of the next notice now, if the rate allows it. */
+  flush(): void {
+    this.batcher.flush();
+  }
+
   /** Names the end of a submission in the next notice. */
   recordEnd(jobId: InFlightJob['jobId'], submissionId: SubmissionId): void {
     if (this.told.delete(submissionId)) {
--- a/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
@@ -169,6 +169,23 @@
     return submissionId;
   }
 
+  /**
+   * Records that a scheduler of this instance is about to start runs of a
+   * submission. The backups are told first, since this process may be killed
+   * behind the first order.
+   */
+  recordAdmission(): void {
+    this.inFlightNotices.forEach(notices => notices.flush());
+  }
+
+  /**
+   * Records that the instance is lost that waits for a submission, which a
+   * scheduler of this one has runs of.
+   */
+  recordLostRequester(jobId: JobId, submissionId: SubmissionId): void {
+    this.tellEntries([{jobId, submissionId, forMs: this.opts.runsEndAfterMs}]);
+  }
+
   /** Records that nobody waits for a submission any more. */
   recordInterruption(jobId: JobId, submissionId: SubmissionId): void {
     const submission = this.own.get(submissionId);
--- a/packages/daemon/src/interrupted_jobs/notice_batcher.test.ts
+++ b/packages/daemon/src/interrupted_jobs/notice_batcher.test.ts
@@ -40,6 +40,22 @@
     expect(sent.length).toBeLessThanOrEqual(LIMITS.burst + 500 / INTERVAL_MS);
   });
 
+  it('sends a notice that is due at once, in its rate', async () => {
+    const clock = VirtualClock.create();
+    const {batcher, sent} = createBatcher(clock);
+    batcher.flush();
+    for (let n = 1; n <= LIMITS.burst + 1; n++) {
+      batcher.add([n]);
+      batcher.flush();
+    }
+    expect(sent).toEqual([[1], [2], [3]]);
+    await clock.advance(INTERVAL_MS);
+    expect(sent).toEqual([[1], [2], [3], [4]]);
+    batcher.add([5]);
+    await clock.advance(INTERVAL_MS);
+    expect(sent).toHaveLength(5);
+  });
+
   it('drops the oldest items of a notice that is full', async () => {
     const clock = VirtualClock.create();
     const {batcher, sent} = createBatcher(clock);
--- a/packages/daemon/src/interrupted_jobs/notice_batcher.ts
+++ b/packages/daemon/src/interrupted_jobs/notice_batcher.ts
@@ -13,6 +13,7 @@
   private isDue = false;
   /** Monotonic time up to which notices have used the allowed rate. */
   private usedUntilMs = -Infinity;
+  private sentCount = 0;
 
   private constructor(
     private readonly clock: Clock,
@@ -56,20 +57,40 @@
   request(): void {
     if (!this.isDue) {
       this.isDue = true;
-      void this.sendLater();
+      void this.sendLater(this.sentCount);
     }
   }
 
-  private async sendLater(): Promise<void> {
-    const {burst, delayMs, send} = this.opts;
+  /** Sends the next notice now, if one is due and the rate allows it. */
+  flush(): void {
     const intervalMs = this.opts.intervalMs();
-    const allowedMs = this.usedUntilMs - (burst - 1) * intervalMs;
-    await this.clock.sleep(Math.max(delayMs, allowedMs - this.clock.now()));
+    if (this.isDue && this.allowedMs(intervalMs) <= this.clock.now()) {
+      this.send(intervalMs);
+    }
+  }
+
+  private async sendLater(sentCount: number): Promise<void> {
+    const {delayMs} = this.opts;
+    const intervalMs = this.opts.intervalMs();
+    const allowedInMs = this.allowedMs(intervalMs) - this.clock.now();
+    await this.clock.sleep(Math.max(delayMs, allowedInMs));
+    if (sentCount === this.sentCount) {
+      this.send(intervalMs);
+    }
+  }
+
+  /** Monotonic time from which the rate allows a notice, in milliseconds. */
+  private allowedMs(intervalMs: number): number {
+    return this.usedUntilMs - (this.opts.burst - 1) * intervalMs;
+  }
+
+  private send(intervalMs: number): void {
     this.usedUntilMs =
       Math.max(this.usedUntilMs, this.clock.now()) + intervalMs;
     const {items} = this;
     this.items = [];
     this.isDue = false;
-    send(items);
+    this.sentCount++;
+    this.opts.send(items);
   }
 }
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -308,10 +308,15 @@
    *
    * @param job - The job.
    * @param requester - Instance that waits for the outcome, for the log.
+   * @param onAdmitted - Called before its first task is placed.
    * @returns How it ended. A job that was submitted before gets the outcome of
    *   the first submission.
    */
-  submit(job: ScheduledJob, requester?: InstanceId): Promise<JobOutcome> {
+  submit(
+    job: ScheduledJob,
+    requester?: InstanceId,
+    onAdmitted?: () => void,
+  ): Promise<JobOutcome> {
     const key = jobKey(job);
     const present = this.jobs.get(key);
     if (present) {
@@ -363,6 +368,7 @@
     if (job.leftMs < IDLE_WATCH_PERIOD_MS) {
       this.watchSleeper.wake();
     }
+    onAdmitted?.();
     this.unblockSteps(record);
     this.completeIfDone(record);
     this.placeWaitingTasks();
--- a/packages/test_kit/src/memory_network/memory_network.ts
+++ b/packages/test_kit/src/memory_network/memory_network.ts
@@ -127,6 +127,7 @@
    * Closed while the process is frozen; arriving messages wait until it opens.
    */
   readonly gate = Gate.create();
+  private hasEnded = false;
   private readonly callHandlers = new Map<string, CallHandler>();
   private readonly noticeHandlers = new Map<string, NoticeHandler>();
 
@@ -136,6 +137,11 @@
     readonly self: InstanceId,
   ) {}
 
+  /** Ends the process: it sends nothing more; what it has sent still arrives. */
+  end(): void {
+    this.hasEnded = true;
+  }
+
   async call<K extends keyof PeerCalls>(
     to: InstanceId,
     type: K,
@@ -163,6 +169,9 @@
     type: K,
     notice: PeerNotices[K],
   ): void {
+    if (this.hasEnded) {
+      return;
+    }
     const bytes = encodeMessage(notice);
     void this.network
       .deliver(this, to, bytes.length)
@@ -197,7 +206,9 @@
     type: string,
     req: Uint8Array,
   ): Promise<{readonly value: unknown} | {readonly error: string}> {
-    const endpoint = await this.network.deliver(this, to, req.length);
+    const endpoint = this.hasEnded
+      ? undefined
+      : await this.network.deliver(this, to, req.length);
     const handler = endpoint?.callHandlers.get(type);
     if (!endpoint || !handler) {
       return new Promise<never>(() => undefined);
@@ -211,11 +222,9 @@
     } catch (err) {
       result = {error: (err as Error).message};
     }
-    const replyEndpoint = await this.network.deliver(
-      endpoint,
-      this.self,
-      resultBytes,
-    );
+    const replyEndpoint = endpoint.hasEnded
+      ? undefined
+      : await this.network.deliver(endpoint, this.self, resultBytes);
     return replyEndpoint === this
       ? result
       : new Promise<never>(() => undefined);
