Keep done tasks for as long as their callers may come back

A job that was sent again ran its done tasks again, when 1,024 other jobs had been done since: that many were remembered, however short ago. A shard with short tasks is through with them in less than the 1.3 s after which a caller comes back.

--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -110,7 +110,7 @@
   private readonly jobs = new Map<string, JobRecord>();
   private readonly sessions = new Map<TargetId, TargetSession>();
   private readonly departedTargets = DepartedTargets.create();
-  private readonly doneTasks = DoneTasks.create();
+  private readonly doneTasks: DoneTasks;
   /** Latest run of each task that is not known to have ended. */
   private readonly openRuns = new Map<TaskId, RunRecord>();
   /** Jobs with unplaced tasks; sorted before each round of placement. */
@@ -133,6 +133,7 @@
 
   private constructor(private readonly opts: SchedulerOptions) {
     this.estimator = opts.estimator;
+    this.doneTasks = DoneTasks.create(opts.clock);
     this.watchSleeper = Sleeper.create(opts.clock);
   }
 
--- a/packages/scheduling/src/scheduler/sent_again.test.ts
+++ b/packages/scheduling/src/scheduler/sent_again.test.ts
@@ -105,6 +105,27 @@
     expect(sim.concurrentRuns).toEqual([]);
   });
 
+  // The done tasks of the last 1,024 jobs were known, however short ago that was.
+  it('runs nothing again that was done before many other jobs', async () => {
+    const sim = new TargetSimulation(1, 20);
+    const scheduler = await startScheduler(sim, 24);
+    const job = partOf(jobOf(1), 0, 1);
+    const first = scheduler.submit(job);
+    await waitForOutcome(sim.clock, first, 2_000);
+    const others = Array.from({length: 1_100}, (_, n) =>
+      scheduler.submit(partOf(jobOf(n + 2), 0, 1)),
+    );
+    await waitForOutcome(
+      sim.clock,
+      Promise.all(others).then(all => all[0]!),
+      2_800,
+    );
+    const again = scheduler.submit(job);
+    const outcome = await waitForOutcome(sim.clock, again, 2_000);
+    expect(outcome.kind).toBe('completed');
+    expect(sim.startsOf(job.id)).toBe(1);
+  });
+
   it('is not started while its first runs have not been stopped', async () => {
     const sim = new TargetSimulation(1, 2_500);
     const scheduler = await startScheduler(sim, 6);
