Keep ends of unclaimed runs for as long as jobs are handed over

A task of a job that is handed over is started again if its end isn't known any more to the next scheduler. That one kept the 256 latest ends of a target for jobs that claim them; a target with short tasks ends more within the time in which jobs are handed over, and lists up to 500 at once.

Ends are now kept for 5 s, beyond 256 and up to 4,096 a target. The second run would have come after the first one, not beside it.

Tests, red before: 2 of `unclaimed_runs.test.ts`. The check that the first of 257 ends is dropped stated the fault: it is replaced by one that it is dropped when it is 5 s old, and one that the first of 4,097 is. Not shown with a whole hand-over. 98 tests of `_lib`, `scheduler`, `restarted_targets`, `late_ends`, `left_behind_runs`, `overlapping_runs` and `unclaimed_runs` pass.

--- a/packages/scheduling/src/_lib/target_session.ts
+++ b/packages/scheduling/src/_lib/target_session.ts
@@ -826,7 +826,7 @@
       this.host.onEarlierRunDone(this, end.taskId);
     }
     if (!this.isConfirmed || wasOrphan || this.orphans.size > 0) {
-      this.orphans.addEnd(end);
+      this.orphans.addEnd(end, this.host.clock.now());
     }
   }
 
--- a/packages/scheduling/src/_lib/unclaimed_runs.ts
+++ b/packages/scheduling/src/_lib/unclaimed_runs.ts
@@ -1,8 +1,15 @@
 import type {TaskId} from '@papayarun/protocol';
 import type {EndReport} from '../target_port/end_report.js';
 
-/** Most ends of unknown runs that are kept until a job claims them. */
-const MAX_ENDS = 256;
+/** Number of ends of unknown runs from which old ones are dropped. */
+const MIN_ENDS = 256;
+/**
+ * Shortest time for which an end is kept until a job claims it, in milliseconds;
+ * longer than jobs are handed over.
+ */
+const END_MEMORY_MS = 5_000;
+/** Most ends that are kept, however recent they are. */
+const MAX_ENDS = 4_096;
 
 /** Run on a target that this scheduler did not order. */
 interface UnclaimedRun {
@@ -17,7 +24,11 @@
  */
 export class UnclaimedRuns {
   private readonly runs = new Map<TaskId, UnclaimedRun>();
-  private readonly ends = new Map<TaskId, EndReport>();
+  /** In the order in which they became known. */
+  private readonly ends = new Map<
+    TaskId,
+    {readonly end: EndReport; readonly atMs: number}
+  >();
 
   private constructor() {}
 
@@ -71,11 +82,22 @@
     this.runs.clear();
   }
 
-  /** Records the end of a run; the oldest ends are dropped. */
-  addEnd(end: EndReport): void {
-    this.ends.set(end.taskId, end);
-    if (this.ends.size > MAX_ENDS) {
-      this.ends.delete(this.ends.keys().next().value!);
+  /**
+   * Records the end of a run; the oldest ends are dropped.
+   *
+   * @param end - The end, as its target lists it.
+   * @param nowMs - Monotonic time in milliseconds.
+   */
+  addEnd(end: EndReport, nowMs: number): void {
+    this.ends.delete(end.taskId);
+    this.ends.set(end.taskId, {end, atMs: nowMs});
+    for (const [taskId, {atMs}] of this.ends) {
+      const {size} = this.ends;
+      const isOld = nowMs - atMs >= END_MEMORY_MS;
+      if (size <= MIN_ENDS || (!isOld && size <= MAX_ENDS)) {
+        break;
+      }
+      this.ends.delete(taskId);
     }
   }
 
@@ -96,7 +118,7 @@
       this.runs.delete(taskId);
       return {kind: 'running', run: run.runNumber};
     }
-    const end = this.ends.get(taskId);
+    const end = this.ends.get(taskId)?.end;
     this.ends.delete(taskId);
     return end && {kind: 'ended', end};
   }
