Limit the pages of a claim transfer by their bytes

Callers saw: after an instance restarted while the others kept more answers than fit into one message (32 MiB by default, 64 MiB of answers are kept), the link to it broke each time it asked for the claims. It never became a synced member, so that requests with ids were answered 503 claimUnavailable at it and, for the ids that it decides on, everywhere.

Cause: a page of a claim transfer had up to 2,000 claims with their answers, whatever their size; a peer closes a link on which a larger message arrives.

Evidence: claims.test.ts 'are transferred to a new member also if all kept answers exceed a message', 1 test red before (the member was never synced).

Why this works: claimsPage ends a page at 4 MiB or at half a message. An answer larger than that is left out, and the fact that its work has run is kept.

Changed test: claim_table.test.ts passes a limit to ClaimTable.page and reads the claims from its result, with the same expectation.

--- a/packages/claims/src/_test/simulated_data_centre.ts
+++ b/packages/claims/src/_test/simulated_data_centre.ts
@@ -108,6 +108,7 @@
       log,
       boot: () => membership.boot,
       view,
+      maxFrameBytes: this.net.maxFrameBytes,
     });
     const claims = Claims.create({
       dataCentre: DATA_CENTRE,
@@ -191,6 +192,11 @@
     }
   }
 
+  /** Limits the size of a message, in bytes; a larger one is lost. */
+  limitFrames(maxBytes: number): void {
+    this.net.maxFrameBytes = maxBytes;
+  }
+
   heal(): void {
     this.net.heal();
     for (const name of INSTANCE_IDS) {
--- a/packages/claims/src/claim_table/claim_table.test.ts
+++ b/packages/claims/src/claim_table/claim_table.test.ts
@@ -72,7 +72,7 @@
   it('keeps the fact through a transfer to another table', () => {
     const id = store(1, MAX_ANSWER_BYTES);
     const other = ClaimTable.create(SilentLog.create(), 10, 1_000, 600_000);
-    table.page('', 10).forEach(record => other.put(record));
+    table.page('', 10, 10_000).records.forEach(record => other.put(record));
     expect(other.get(id)).toMatchObject({isAnswerGone: true});
   });
 
--- a/packages/claims/src/claim_table/claim_table.ts
+++ b/packages/claims/src/claim_table/claim_table.ts
@@ -6,6 +6,7 @@
 } from '@papayarun/protocol';
 import {parseRequestKey} from '@papayarun/protocol';
 import {answersToDrop} from '../answers_to_drop/answers_to_drop.js';
+import {claimsPage} from '../claims_page/claims_page.js';
 import {recordWithoutAnswer} from '../record_without_answer/record_without_answer.js';
 
 const MS_PER_SECOND = 1000;
@@ -210,13 +211,28 @@
     }
   }
 
-  /** Claims with ids greater than the given one, in ascending order of ids. */
-  page(afterId: string, count: number): ClaimRecord[] {
-    return [...this.entries.keys()]
+  /**
+   * Takes the claims that follow an id and fit into one message.
+   *
+   * @param afterId - Last id of the page before, empty for the first page.
+   * @param maxRecords - Largest number of claims.
+   * @param maxBytes - Largest size of the message, in bytes.
+   * @returns The claims in ascending order of ids, and whether they are the last.
+   */
+  page(
+    afterId: string,
+    maxRecords: number,
+    maxBytes: number,
+  ): {readonly records: ClaimRecord[]; readonly done: boolean} {
+    const claims = [...this.entries.keys()]
       .filter(id => id > afterId)
       .sort()
-      .slice(0, count)
-      .map(id => this.entries.get(id)!.record);
+      .slice(0, maxRecords + 1)
+      .map(id => ({
+        record: this.entries.get(id)!.record,
+        outcomeBytes: this.answerBytes.get(id) ?? 0,
+      }));
+    return claimsPage(claims, maxRecords, maxBytes);
   }
 
   private delete(id: string): void {
--- a/packages/claims/src/claims/claims.test.ts
+++ b/packages/claims/src/claims/claims.test.ts
@@ -21,6 +21,9 @@
 /** Size of an answer that is not sent to the other members. */
 const LARGE_ANSWER_BYTES = 64 * 1024 + 1;
 
+/** Largest message between two instances, in bytes. */
+const MAX_FRAME_BYTES = 8 << 20;
+
 function failedOutcome(): Outcome {
   const {refusal} = DispatchError.mayHaveRun(
     'targetFailed',
@@ -284,6 +287,29 @@
     expect(dataCentre.verdictsById.get(id)).toEqual(new Set(['ran']));
   });
 
+  it('are transferred to a new member also if all kept answers exceed a message', async () => {
+    const dataCentre = new SimulatedDataCentre(46, 64 << 20, () =>
+      answerOf(new Uint8Array(LARGE_ANSWER_BYTES - 1)),
+    );
+    const [a, , c] = INSTANCE_IDS as [InstanceId, InstanceId, InstanceId];
+    dataCentre.limitFrames(MAX_FRAME_BYTES);
+    dataCentre.crash(c);
+    await dataCentre.clock.advance(2_000);
+    const count = Math.ceil((1.5 * MAX_FRAME_BYTES) / LARGE_ANSWER_BYTES);
+    for (let n = 0; n < count; n++) {
+      dataCentre.send(a, dataCentre.newId());
+    }
+    await dataCentre.clock.advance(500);
+    expect(dataCentre.processes.get(a)!.table.keptBytes).toBeGreaterThan(
+      MAX_FRAME_BYTES,
+    );
+    dataCentre.start(c);
+    await dataCentre.clock.advance(3_000);
+    const joined = dataCentre.processes.get(c)!;
+    expect(joined.viewMembership.isSynced()).toBe(true);
+    expect(joined.table.size).toBe(count);
+  });
+
   it('take the end of the work from a transfer also for a claim that the new member holds', async () => {
     const dataCentre = new SimulatedDataCentre(45);
     const [a, b, c] = INSTANCE_IDS as [InstanceId, InstanceId, InstanceId];
--- a/packages/claims/src/view_membership/view_membership.ts
+++ b/packages/claims/src/view_membership/view_membership.ts
@@ -10,6 +10,10 @@
 
 /** Claims in one page of a transfer. */
 const RECORDS_PER_PAGE = 2_000;
+/** Largest size of one page of a transfer, in bytes. */
+const MAX_PAGE_BYTES = 4 * 1024 * 1024;
+/** Largest part of a message between instances that a page takes. */
+const MAX_PAGE_FRACTION = 0.5;
 /** Timeout of the call for one page of a transfer, in milliseconds. */
 const PAGE_CALL_TIMEOUT_MS = 2_000;
 
@@ -23,6 +27,8 @@
   /** Current boot id of this instance. */
   readonly boot: () => BootId;
   readonly view: () => ClaimView | undefined;
+  /** Largest size of a message between instances, in bytes. */
+  readonly maxFrameBytes: number;
 }
 
 /**
@@ -150,8 +156,15 @@
     if (!view || view.epoch < req.epoch || !this.isSynced()) {
       return {kind: 'notYet'};
     }
-    const records = this.opts.table.page(req.afterId, RECORDS_PER_PAGE);
-    return {kind: 'page', records, done: records.length < RECORDS_PER_PAGE};
+    const {table, maxFrameBytes} = this.opts;
+    const maxBytes = Math.min(
+      MAX_PAGE_BYTES,
+      MAX_PAGE_FRACTION * maxFrameBytes,
+    );
+    return {
+      kind: 'page',
+      ...table.page(req.afterId, RECORDS_PER_PAGE, maxBytes),
+    };
   }
 
   private markSynced(view: ClaimView, own: JoinedMember): void {
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -379,6 +379,7 @@
       log,
       boot: () => membership.boot,
       view,
+      maxFrameBytes: cfg.limits.peerFrameBytes,
     });
     this.claims = Claims.create({
       dataCentre: this.dataCentre,
