--- a/packages/claims/src/claims/claims.ts
+++ b/packages/claims/src/claims/claims.ts
@@ -12,6 +12,7 @@
   refusalForVersion,
   refusalFromError,
 } from '@papayarun/protocol';
+import {valueWithin} from '../_lib/value_within.js';
 import {ClaimRecorder} from '../claim_recorder/claim_recorder.js';
 import type {ClaimsOptions} from './claims_options.js';
 
@@ -20,8 +21,6 @@
 const RETRY_DELAY_MS = 50;
 /** Time allowed for a call to the owner on top of the wait for the outcome. */
 const OWNER_CALL_MARGIN_MS = 1_000;
-/** Abort reason that ends the timer of a wait whose work has finished. */
-const CANCEL_TIMER_REASON = 'done';
 /** Largest answer body that is sent to the other members, in bytes. */
 const MAX_BROADCAST_ANSWER_BYTES = 64 * 1024;
 
@@ -161,7 +160,7 @@
   ): Promise<Outcome | undefined> {
     const execution = this.executions.get(id);
     return execution
-      ? this.outcomeWithin(execution, waitMs)
+      ? valueWithin(this.opts.clock, execution, waitMs)
       : this.opts.table.get(id)?.outcome;
   }
 
@@ -384,7 +383,7 @@
   ): Promise<OwnerAnswerCall['res']> {
     const execution = this.executions.get(req.id);
     if (execution) {
-      const outcome = await this.outcomeWithin(execution, req.waitMs);
+      const outcome = await valueWithin(this.opts.clock, execution, req.waitMs);
       return outcome ? {kind: 'done', outcome} : {kind: 'running'};
     }
     if (this.recorder.isPending(req.claimId)) {
@@ -414,25 +413,12 @@
     execution: Promise<Outcome>,
     waitMs: number,
   ): Promise<Outcome> {
-    const outcome = await this.outcomeWithin(execution, waitMs);
+    const outcome = await valueWithin(this.opts.clock, execution, waitMs);
     if (!outcome) {
       throw stillRunningError();
     }
     return outcome;
   }
-
-  private async outcomeWithin(
-    execution: Promise<Outcome>,
-    waitMs: number,
-  ): Promise<Outcome | undefined> {
-    const timerCancellation = new AbortController();
-    const timeout = this.opts.clock
-      .sleep(Math.max(0, waitMs), timerCancellation.signal)
-      .then(() => undefined);
-    const outcome = await Promise.race([execution, timeout]);
-    timerCancellation.abort(CANCEL_TIMER_REASON);
-    return outcome;
-  }
 }
 
 function ownerLostError(): DispatchError {
