Count a request until its response has left the process

Callers saw: an instance that shut down could cut off a response that it had begun to send, since it counted the request as done and exited.

Cause: HttpApp.inProgress, which ends the wait of a shutdown on instances and on the platform's entries, fell when res.end() was called. What the client had yet to read was then still in the memory of the process.

Evidence: the test reads nothing of a response of 64 MiB.

Fix: the request counts until the response is closed, that is, passed to the operating system, or given up by the client (second test). A client that reads nothing ends with the wait's own limit, as a slow target does.

--- /dev/null
+++ b/packages/daemon/src/http/http_app.test.ts
@@ -0,0 +1,90 @@
+import type {Socket} from 'node:net';
+import {connect} from 'node:net';
+import {SilentLog} from '@papayarun/test_kit';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {HttpApp} from './http_app.js';
+import type {HttpRoute} from './http_route.js';
+
+/** More than the operating system buffers for a connection. */
+const LARGE_ANSWER_BYTES = 64 * 1024 * 1024;
+const LARGE_REQUEST = 'GET /large HTTP/1.1\r\nhost: localhost\r\n\r\n';
+
+describe('HttpApp', () => {
+  let app: HttpApp;
+  let handled: number;
+  const sockets: Socket[] = [];
+
+  beforeEach(async () => {
+    handled = 0;
+    const route = (path: string, body: Buffer): HttpRoute => ({
+      method: 'GET',
+      path,
+      handle: () => {
+        handled++;
+        return Promise.resolve({status: 200, body});
+      },
+    });
+    app = await HttpApp.create(
+      {
+        routes: [
+          route('/small', Buffer.from('whole')),
+          route('/large', Buffer.alloc(LARGE_ANSWER_BYTES)),
+        ],
+        log: SilentLog.create(),
+        maxBodyBytes: 1_024,
+        maxConnections: 100,
+        commonHeaders: () => ({}),
+      },
+      {host: '127.0.0.1', port: 0},
+    );
+  });
+
+  afterEach(() => {
+    for (const socket of sockets.splice(0)) {
+      socket.destroy();
+    }
+    app.closeAll();
+  });
+
+  function openConnection(): Socket {
+    const socket = connect(app.port, '127.0.0.1');
+    sockets.push(socket);
+    return socket;
+  }
+
+  it('does not take an answer for sent while the client has yet to read a part of it', async () => {
+    const socket = openConnection();
+    socket.pause();
+    socket.write(LARGE_REQUEST);
+    await waitFor(() => handled === 1);
+    await pause();
+    expect(app.inProgress).toBe(1);
+    let received = 0;
+    socket.on('data', (chunk: Buffer) => {
+      received += chunk.length;
+    });
+    socket.resume();
+    await waitFor(() => app.inProgress === 0);
+    await waitFor(() => received > LARGE_ANSWER_BYTES);
+  });
+
+  it('counts no request of a client that has left', async () => {
+    const socket = openConnection();
+    socket.pause();
+    socket.write(LARGE_REQUEST);
+    await waitFor(() => handled === 1);
+    socket.destroy();
+    await waitFor(() => app.inProgress === 0);
+  });
+});
+
+/** Runs the event loop for a few rounds. */
+async function pause(): Promise<void> {
+  for (let round = 0; round < 20; round++) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+}
+
+async function waitFor(isDone: () => boolean): Promise<void> {
+  await expect.poll(isDone, {timeout: 10_000}).toBe(true);
+}
--- a/packages/daemon/src/http/http_app.ts
+++ b/packages/daemon/src/http/http_app.ts
@@ -73,7 +73,10 @@
     return (this.server.address() as AddressInfo).port;
   }
 
-  /** Number of requests in progress. */
+  /**
+   * Number of requests in progress, until the operating system has the whole
+   * response or the connection is closed.
+   */
   get inProgress(): number {
     return this.activeRequests;
   }
@@ -120,6 +123,7 @@
       }
       this.send(res, refusalResponse(refusal));
     } finally {
+      await closed(res);
       this.activeRequests--;
     }
   }
@@ -188,6 +192,20 @@
   }
 }
 
+/**
+ * Resolves when the whole response was passed to the operating system, or its
+ * connection was closed.
+ */
+function closed(res: ServerResponse): Promise<void> {
+  return new Promise(resolve => {
+    if (res.closed) {
+      resolve();
+      return;
+    }
+    res.once('close', resolve);
+  });
+}
+
 function parseUrl(text: string): URL {
   try {
     return new URL(text, 'http://papayarun');
