Answer what has arrived before a listener is closed

Callers saw: ECONNRESET from an instance that shut down, for requests that they had sent whole before it stopped listening.

Cause: stopListening() closed the listener as soon as its timer fired. Timers run before the reading, and the event loop accepts one connection in a round, so a process short of processor time closed connections that waited to be accepted, with whole requests on them. Server.close() of Node.js also closes every idle connection, with a request in its buffer or not, as did the end of the wait for requests.

Evidence: "fails no request when instances shut down on SIGTERM (with ids: true)" beside 8 busy processes (load average 47): four requests, each on a new connection, written whole 14 ms before the end of the drain delay by the clock of the process and reset 240 ms later, none read by it.

Fix: the server reads until two rounds of the event loop brought nothing, at most as many rounds as connections can wait, and then closes the listener alone. A request on an open connection is still answered, with "connection: close". Connections that stay idle are closed when nothing is in progress, again after reading.

--- a/packages/daemon/src/http/http_app.test.ts
+++ b/packages/daemon/src/http/http_app.test.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import type {Socket} from 'node:net';
 import {connect} from 'node:net';
 import {SilentLog} from '@papayarun/test_kit';
@@ -5,8 +6,10 @@
 import {HttpApp} from './http_app.js';
 import type {HttpRoute} from './http_route.js';
 
+const WAITING_CONNECTIONS = 60;
 /** More than the operating system buffers for a connection. */
 const LARGE_ANSWER_BYTES = 64 * 1024 * 1024;
+const REQUEST = 'GET /small HTTP/1.1\r\nhost: localhost\r\n\r\n';
 const LARGE_REQUEST = 'GET /large HTTP/1.1\r\nhost: localhost\r\n\r\n';
 
 describe('HttpApp', () => {
@@ -68,6 +71,59 @@
     await waitFor(() => received > LARGE_ANSWER_BYTES);
   });
 
+  it('answers a request that was sent on an idle connection but not read when it stops listening', async () => {
+    const socket = openConnection();
+    const received = collect(socket);
+    socket.write(REQUEST);
+    await waitFor(() => received().includes('whole'));
+    socket.write(REQUEST);
+    await app.stopListening();
+    await waitFor(() => received().split('whole').length === 3);
+    expect(received()).toMatch(/connection: close/i);
+    await waitFor(() => socket.closed);
+  });
+
+  it('answers requests on connections that were not accepted when it stops listening', async () => {
+    const answers = await Promise.all(
+      Array.from({length: WAITING_CONNECTIONS}, async () => {
+        const socket = openConnection();
+        const received = collect(socket);
+        await once(socket, 'connect');
+        await new Promise(resolve => socket.write(REQUEST, resolve));
+        return received;
+      }),
+    );
+    await app.stopListening();
+    await waitFor(() =>
+      answers.every(received => received().includes('whole')),
+    );
+  });
+
+  it('answers a request on an idle connection after it has stopped listening', async () => {
+    const socket = openConnection();
+    const received = collect(socket);
+    socket.write(REQUEST);
+    await waitFor(() => received().includes('whole'));
+    const {port} = app;
+    await app.stopListening();
+    socket.write(REQUEST);
+    await app.closeIdleConnections();
+    await waitFor(() => received().split('whole').length === 3);
+    const refused = connect(port, '127.0.0.1');
+    await expect(once(refused, 'connect')).rejects.toThrow('ECONNREFUSED');
+  });
+
+  it('closes idle connections on request', async () => {
+    const socket = openConnection();
+    const received = collect(socket);
+    socket.write(REQUEST);
+    await waitFor(() => received().includes('whole'));
+    await app.stopListening();
+    expect(socket.closed).toBe(false);
+    await app.closeIdleConnections();
+    await waitFor(() => socket.closed);
+  });
+
   it('counts no request of a client that has left', async () => {
     const socket = openConnection();
     socket.pause();
@@ -78,6 +134,16 @@
   });
 });
 
+/** Collects what is received; returns a function that gives it as text. */
+function collect(socket: Socket): () => string {
+  let text = '';
+  socket.on('data', (chunk: Buffer) => {
+    text += chunk.toString('latin1');
+  });
+  socket.on('error', () => undefined);
+  return () => text;
+}
+
 /** Runs the event loop for a few rounds. */
 async function pause(): Promise<void> {
   for (let round = 0; round < 20; round++) {
--- a/packages/daemon/src/http/http_app.ts
+++ b/packages/daemon/src/http/http_app.ts
@@ -1,8 +1,10 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {Server as NetServer} from 'node:net';
 import type {EventLog, Refusal} from '@papayarun/protocol';
 import {DispatchError, refusalFromError} from '@papayarun/protocol';
+import {afterReading} from '../loop_lag/after_reading.js';
 import type {HttpResponse} from './http_response.js';
 import type {HttpRoute} from './http_route.js';
 import {matchPath} from './match_path.js';
@@ -12,6 +14,13 @@
 const HEADERS_TIMEOUT_MS = 10_000;
 const REQUEST_TIMEOUT_MS = 60_000;
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+/** Maximum number of connections that wait to be accepted. */
+const LISTEN_BACKLOG = 511;
+/**
+ * Rounds of the event loop without an arrival after which nothing is left to
+ * read: a connection is accepted in one round and read in the next one.
+ */
+const ROUNDS_WITHOUT_ARRIVAL = 2;
 
 /**
  * Options of an HTTP server.
@@ -32,6 +41,8 @@
  */
 export class HttpApp {
   private activeRequests = 0;
+  /** Connections accepted and requests received. */
+  private arrivals = 0;
   private isClosing = false;
 
   private constructor(
@@ -61,10 +72,11 @@
     });
     server.maxConnections = opts.maxConnections;
     const app = new HttpApp(opts, server);
+    server.on('connection', () => app.arrivals++);
     server.on('request', (req, res) => void app.handleRequest(req, res));
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
-      server.listen(listen.port, listen.host, resolve);
+      server.listen(listen.port, listen.host, LISTEN_BACKLOG, resolve);
     });
     return app;
   }
@@ -89,10 +101,45 @@
     this.isClosing = true;
   }
 
-  /** Stops listening; a connection closes after the response to its request. */
-  stopListening(): void {
+  /**
+   * Reads what has arrived, then stops listening.
+   *
+   * @description Open connections stay; each closes after the response to its
+   * next request.
+   */
+  async stopListening(): Promise<void> {
     this.isClosing = true;
-    this.server.close();
+    await this.readArrived();
+    // The method of the HTTP server would close idle connections as well, also
+    // those with a request that was not read yet.
+    NetServer.prototype.close.call(this.server);
+  }
+
+  /** Reads what has arrived, then closes the connections without a request. */
+  async closeIdleConnections(): Promise<void> {
+    await this.readArrived();
+    this.server.closeIdleConnections();
+  }
+
+  /**
+   * Accepts the connections that wait and reads the requests on them.
+   *
+   * @description The event loop accepts one connection in a round, so a process
+   * that had no processor time has several rounds to catch up with. The number of
+   * rounds is bounded by what can wait when this is called.
+   */
+  async readArrived(): Promise<void> {
+    let roundsWithoutArrival = 0;
+    for (
+      let round = 0;
+      round < LISTEN_BACKLOG && roundsWithoutArrival < ROUNDS_WITHOUT_ARRIVAL;
+      round++
+    ) {
+      const before = this.arrivals;
+      await afterReading();
+      roundsWithoutArrival =
+        this.arrivals === before ? roundsWithoutArrival + 1 : 0;
+    }
   }
 
   /** Stops listening and closes all connections, also those in use. */
@@ -106,6 +153,7 @@
     res: ServerResponse,
   ): Promise<void> {
     this.activeRequests++;
+    this.arrivals++;
     const disconnection = new AbortController();
     res.on('close', () => {
       if (!res.writableFinished) {
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -35,6 +35,7 @@
 import type {EventLogger} from '../event_logger/event_logger.js';
 import {formCluster} from '../form_cluster/form_cluster.js';
 import {checkBearerKey} from '../http/check_bearer_key.js';
+import {finishRequests} from '../http/finish_requests.js';
 import {HttpApp} from '../http/http_app.js';
 import {JobService} from '../job_service/job_service.js';
 import {IdempotentRequests} from '../idempotent_requests/idempotent_requests.js';
@@ -79,11 +80,6 @@
 const HANDOVER_HEARTBEATS = 3;
 /** Number of checks for silent links in the time that makes one silent. */
 const LINK_CHECKS_PER_TIMEOUT = 4;
-/**
- * Interval between two checks for work in progress during a drain, in
- * milliseconds.
- */
-const DRAIN_POLL_MS = 20;
 /** Longest wait during a drain for leaving the claim view, in milliseconds. */
 const LEAVE_TIMEOUT_MS = 3_000;
 /** Interval at which targets are told to announce themselves, in milliseconds. */
@@ -669,14 +665,13 @@
     this.membership.invalidateLiveInstances();
     this.callerApp.disableKeepAlive();
     await this.clock.sleep(drainDelayMs);
-    this.callerApp.stopListening();
-    const startedMs = this.clock.now();
-    while (
-      this.countInProgress() > 0 &&
-      this.clock.now() - startedMs < drainTimeoutMs
-    ) {
-      await this.clock.sleep(DRAIN_POLL_MS);
-    }
+    await this.callerApp.stopListening();
+    await finishRequests({
+      clock: this.clock,
+      app: this.callerApp,
+      inProgress: () => this.countInProgress(),
+      untilMs: this.clock.now() + drainTimeoutMs,
+    });
     await this.viewReconciler.leave(LEAVE_TIMEOUT_MS);
     const unfinished = this.countInProgress();
     await this.stop();
