Listen until no caller sends requests to an instance that shuts down

Callers saw: ECONNREFUSED from an instance that shut down, when the balancer was later than drainDelayMs to take it out.

Cause: the port was closed by the clock alone, drainDelayMs after the signal, although requests were arriving until then.

Fix: the port is closed when no request has come for drainDelayMs, after at least drainDelayMs as before, and after at most half of drainTimeoutMs more, so that the rest is left for what was taken. drainDelayMs + drainTimeoutMs bounds both. Health checks and announcements don't count as use (HttpRoute.isPeriodic). An instance that is still used ends up to that much later than before.

A balancer in a process that stands still for longer than drainDelayMs sends nothing meanwhile, so its requests are refused as before.

--- a/packages/daemon/src/caller_api/caller_routes.ts
+++ b/packages/daemon/src/caller_api/caller_routes.ts
@@ -47,11 +47,13 @@
     {
       method: 'GET',
       path: '/health/live',
+      isPeriodic: true,
       handle: () => Promise.resolve(okResponse({live: true})),
     },
     {
       method: 'GET',
       path: '/health/ready',
+      isPeriodic: true,
       handle: () => Promise.resolve(getReadiness(opts)),
     },
     {
@@ -74,6 +76,7 @@
     {
       method: 'POST',
       path: '/v1/targets',
+      isPeriodic: true,
       handle: req => Promise.resolve(announceTarget(opts, req)),
     },
     {
--- a/packages/daemon/src/http/http_app.test.ts
+++ b/packages/daemon/src/http/http_app.test.ts
@@ -10,6 +10,7 @@
 /** More than the operating system buffers for a connection. */
 const LARGE_ANSWER_BYTES = 64 * 1024 * 1024;
 const REQUEST = 'GET /small HTTP/1.1\r\nhost: localhost\r\n\r\n';
+const HEALTH_REQUEST = 'GET /health HTTP/1.1\r\nhost: localhost\r\n\r\n';
 const LARGE_REQUEST = 'GET /large HTTP/1.1\r\nhost: localhost\r\n\r\n';
 
 describe('HttpApp', () => {
@@ -31,6 +32,7 @@
       {
         routes: [
           route('/small', Buffer.from('whole')),
+          {...route('/health', Buffer.from('whole')), isPeriodic: true},
           route('/large', Buffer.alloc(LARGE_ANSWER_BYTES)),
         ],
         log: SilentLog.create(),
@@ -124,6 +126,17 @@
     await waitFor(() => socket.closed);
   });
 
+  it('does not take health checks for a use of the server by clients', async () => {
+    const socket = openConnection();
+    const received = collect(socket);
+    socket.write(HEALTH_REQUEST);
+    await waitFor(() => received().includes('whole'));
+    expect(app.receivedFromClients).toBe(0);
+    socket.write(REQUEST);
+    await waitFor(() => received().split('whole').length === 3);
+    expect(app.receivedFromClients).toBe(1);
+  });
+
   it('counts no request of a client that has left', async () => {
     const socket = openConnection();
     socket.pause();
--- a/packages/daemon/src/http/http_app.ts
+++ b/packages/daemon/src/http/http_app.ts
@@ -43,6 +43,7 @@
   private activeRequests = 0;
   /** Connections accepted and requests received. */
   private arrivals = 0;
+  private clientRequests = 0;
   private isClosing = false;
 
   private constructor(
@@ -93,6 +94,11 @@
     return this.activeRequests;
   }
 
+  /** Number of requests received so far, other than periodic ones. */
+  get receivedFromClients(): number {
+    return this.clientRequests;
+  }
+
   /**
    * Adds `connection: close` to every response, so that clients open another
    * connection for their next request.
@@ -191,6 +197,7 @@
       const params =
         route.method === raw.method && matchPath(route.path, url.pathname);
       if (params) {
+        this.clientRequests += route.isPeriodic ? 0 : 1;
         const body = await readBody(raw, this.opts.maxBodyBytes);
         const {pathname: path, searchParams: query} = url;
         return await this.logBadRequest(
--- a/packages/daemon/src/http/http_route.ts
+++ b/packages/daemon/src/http/http_route.ts
@@ -8,5 +8,10 @@
   readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
   /** Path pattern; a segment `:name` is a parameter, a last `*` matches the rest. */
   readonly path: string;
+  /**
+   * Whether monitors or targets send such requests all the time. They don't show
+   * that clients still use the server.
+   */
+  readonly isPeriodic?: boolean;
   readonly handle: (req: HttpRequest) => Promise<HttpResponse>;
 }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -9,6 +9,7 @@
 export * from './http/http_response.js';
 export * from './http/http_route.js';
 export * from './http/parse_json.js';
+export * from './http/wait_until_unused.js';
 export * from './metrics/metrics.js';
 export * from './state_instance/state_instance.js';
 export * from './state_instance/state_instance_options.js';
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -34,6 +34,7 @@
 import {ConfigurationFreshness} from '../configuration_freshness/configuration_freshness.js';
 import type {EventLogger} from '../event_logger/event_logger.js';
 import {formCluster} from '../form_cluster/form_cluster.js';
+import {waitUntilUnused} from '../http/wait_until_unused.js';
 import {checkBearerKey} from '../http/check_bearer_key.js';
 import {finishRequests} from '../http/finish_requests.js';
 import {HttpApp} from '../http/http_app.js';
@@ -80,6 +81,11 @@
 const HANDOVER_HEARTBEATS = 3;
 /** Number of checks for silent links in the time that makes one silent. */
 const LINK_CHECKS_PER_TIMEOUT = 4;
+/**
+ * Largest fraction of the drain timeout in which an instance still listens because
+ * requests arrive; the rest is left to finish them.
+ */
+const LATE_BALANCER_FRACTION = 0.5;
 /** Longest wait during a drain for leaving the claim view, in milliseconds. */
 const LEAVE_TIMEOUT_MS = 3_000;
 /** Interval at which targets are told to announce themselves, in milliseconds. */
@@ -167,8 +173,9 @@
   /**
    * Takes no new callers, finishes the work in progress and stops the instance.
    *
-   * @description Work that is still in progress after `timing.drainTimeoutMs` is
-   * aborted. Further calls return the promise of the first one.
+   * @description The instance listens until no caller has sent a request for
+   * `timing.drainDelayMs`, for at most half of `timing.drainTimeoutMs` longer than
+   * that. Work that is still in progress after the sum of both is aborted. Further calls return the promise of the first one.
    * @returns A promise that resolves when all components are closed.
    * @example
    * await instance.drain();
@@ -664,13 +671,20 @@
     this.state = 'draining';
     this.membership.invalidateLiveInstances();
     this.callerApp.disableKeepAlive();
-    await this.clock.sleep(drainDelayMs);
-    await this.callerApp.stopListening();
+    const {clock, callerApp: app} = this;
+    const untilMs = clock.now() + drainDelayMs + drainTimeoutMs;
+    await waitUntilUnused({
+      clock,
+      app,
+      unusedMs: drainDelayMs,
+      limitMs: drainDelayMs + drainTimeoutMs * LATE_BALANCER_FRACTION,
+    });
+    await app.stopListening();
     await finishRequests({
-      clock: this.clock,
-      app: this.callerApp,
+      clock,
+      app,
       inProgress: () => this.countInProgress(),
-      untilMs: this.clock.now() + drainTimeoutMs,
+      untilMs,
     });
     await this.viewReconciler.leave(LEAVE_TIMEOUT_MS);
     const unfinished = this.countInProgress();
