Keep a connection open until its answer has been received

Callers saw: a truncated answer when an instance stopped listening while a caller had yet to read a part of it.

Cause: closeIdleConnections() of Node.js, which its close() calls too, takes a connection for idle once its response was written, with what the operating system hasn't taken yet still in the process.

Fix: the server counts the requests of each connection until their response is closed, and closes only connections without any, and without a part of a request after the last response.

--- a/packages/daemon/src/http/http_app.test.ts
+++ b/packages/daemon/src/http/http_app.test.ts
@@ -115,6 +115,36 @@
     await expect(once(refused, 'connect')).rejects.toThrow('ECONNREFUSED');
   });
 
+  it('does not cut off an answer that the client has yet to read when it closes idle connections', async () => {
+    const socket = openConnection();
+    socket.pause();
+    socket.write(LARGE_REQUEST);
+    await waitFor(() => handled === 1);
+    await pause();
+    await app.stopListening();
+    await app.closeIdleConnections();
+    let received = 0;
+    socket.on('data', (chunk: Buffer) => {
+      received += chunk.length;
+    });
+    socket.on('error', () => undefined);
+    socket.resume();
+    await waitFor(() => socket.closed || received > LARGE_ANSWER_BYTES);
+    expect(received).toBeGreaterThan(LARGE_ANSWER_BYTES);
+  });
+
+  it('does not close a connection on which a part of a request has arrived', async () => {
+    const socket = openConnection();
+    const received = collect(socket);
+    const half = REQUEST.length / 2;
+    socket.write(REQUEST);
+    await waitFor(() => received().includes('whole'));
+    socket.write(REQUEST.slice(0, half));
+    await app.closeIdleConnections();
+    socket.write(REQUEST.slice(half));
+    await waitFor(() => received().split('whole').length === 3);
+  });
+
   it('closes idle connections on request', async () => {
     const socket = openConnection();
     const received = collect(socket);
--- a/packages/daemon/src/http/http_app.ts
+++ b/packages/daemon/src/http/http_app.ts
@@ -8,6 +8,7 @@
 import type {HttpResponse} from './http_response.js';
 import type {HttpRoute} from './http_route.js';
 import {matchPath} from './match_path.js';
+import {OpenConnections} from './open_connections.js';
 import {refusalResponse} from './refusal_response.js';
 
 const MAX_HEADER_BYTES = 16 * 1024;
@@ -44,6 +45,7 @@
   /** Connections accepted and requests received. */
   private arrivals = 0;
   private clientRequests = 0;
+  private readonly connections = OpenConnections.create();
   private isClosing = false;
 
   private constructor(
@@ -73,7 +75,10 @@
     });
     server.maxConnections = opts.maxConnections;
     const app = new HttpApp(opts, server);
-    server.on('connection', () => app.arrivals++);
+    server.on('connection', socket => {
+      app.arrivals++;
+      app.connections.add(socket);
+    });
     server.on('request', (req, res) => void app.handleRequest(req, res));
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
@@ -124,7 +129,7 @@
   /** Reads what has arrived, then closes the connections without a request. */
   async closeIdleConnections(): Promise<void> {
     await this.readArrived();
-    this.server.closeIdleConnections();
+    this.connections.closeIdle();
   }
 
   /**
@@ -158,8 +163,10 @@
     raw: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
+    const {socket} = raw;
     this.activeRequests++;
     this.arrivals++;
+    this.connections.requestStarted(socket);
     const disconnection = new AbortController();
     res.on('close', () => {
       if (!res.writableFinished) {
@@ -178,6 +185,7 @@
       this.send(res, refusalResponse(refusal));
     } finally {
       await closed(res);
+      this.connections.requestEnded(socket);
       this.activeRequests--;
     }
   }
