Close idle connections at the start of the wait for requests in progress

Callers would see: a request on an open connection is taken late in a shutdown, when there is too little time left to answer it. Open connections stay with a platform's entry when it is taken out of the balancer.

--- a/packages/daemon/src/http/finish_requests.ts
+++ b/packages/daemon/src/http/finish_requests.ts
@@ -10,7 +10,7 @@
 export interface FinishRequestsOptions {
   readonly clock: Clock;
   /** Server that no longer listens. */
-  readonly app: Pick<HttpApp, 'readArrived' | 'closeIdleConnections'>;
+  readonly app: Pick<HttpApp, 'closeIdleConnections'>;
   /** Number of requests in progress, of the server and of others to wait for. */
   readonly inProgress: () => number;
   /** Monotonic time until which to wait at most, in milliseconds. */
@@ -18,11 +18,12 @@
 }
 
 /**
- * Waits until a server that shuts down has no request in progress, then closes its
- * idle connections.
+ * Closes the connections of a server that shuts down, each once it has no request in
+ * progress.
  *
  * @description What has arrived is read before each decision, since a process that
- * had no processor time finds its timers due before it finds requests.
+ * had no processor time finds its timers due before it finds requests. Connections
+ * without a request close at once: one that came later would have less time.
  * @param opts - Server, number of requests in progress and limit.
  * @returns Resolves when nothing is in progress, or at the limit.
  * @throws Never.
@@ -33,12 +34,9 @@
   opts: FinishRequestsOptions,
 ): Promise<void> {
   const {clock, app, inProgress, untilMs} = opts;
-  do {
-    await app.readArrived();
-    while (inProgress() > 0 && clock.now() < untilMs) {
-      await clock.sleep(POLL_MS);
-      await app.readArrived();
-    }
+  await app.closeIdleConnections();
+  while (inProgress() > 0 && clock.now() < untilMs) {
+    await clock.sleep(POLL_MS);
     await app.closeIdleConnections();
-  } while (inProgress() > 0 && clock.now() < untilMs);
+  }
 }
