Cancel a best-effort job at all entry instances

Cause: an entry answered each DELETE by itself. Nobody told the entry that has the job, nor its scheduler, and nothing was remembered, so that a copy of the job that arrived later would have started as well.

Fix: the entry that gets the DELETE tells the linked state instances, and these tell all entries that they have heard within 3 s, unless their process is known to have ended. Each entry ends the job at its schedulers, answers the callers that wait for it at once with `cancelled`, and refuses copies for 120 s, as does a scheduler that is handed one. It is acknowledged only when all of these entries have confirmed (200 if it was in progress, else 410). Otherwise the answer is 503, after 3.5 s or before the caller's deadline: an entry that may run has not confirmed, or there is no room to remember the job (a full table drops nothing). Instances with a new link tell each other what they may have missed, so that an entry that was cut off or restarted learns of it. Cancellations of one moment share a message: an instance starts at most 20 rounds a second, a state instance sends at most 500 calls a second, both however many jobs are cancelled.

A cancelled job isn't refused, also before its first task: a refused one is submitted to other schedulers, and tasks may have run.

Compatibility: new call `cancelJobs` and notice `cancelledJobs`; a previous version answers that the call is unknown, which counts as not confirmed (503), and ignores the notice. It answers 504 for the new failure `cancelledByCaller`. No stored record changes.

Not covered: entries of which the linked state instances heard nothing for more than 3 s, until they are linked again; jobs that are stored.

--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -1,6 +1,7 @@
 import type {
   Heartbeat,
   InstanceId,
+  JobId,
   JobOutcome,
   ScheduledJob,
   ShardId,
@@ -14,6 +15,8 @@
   runPermissionEndMs,
   runsEndAfterLossMs,
 } from '@papayarun/scheduling';
+import type {CancellationResult} from '../cancelled_jobs/cancellation_result.js';
+import {JobCancellations} from '../cancelled_jobs/job_cancellations.js';
 import {ClusterNode} from '../cluster_node/cluster_node.js';
 import {InterruptedJobs} from '../interrupted_jobs/interrupted_jobs.js';
 import {afterReading} from '../loop_lag/after_reading.js';
@@ -22,6 +25,7 @@
 import {QueueTable} from '../work_queue/queue_table.js';
 import type {WorkQueue} from '../work_queue/work_queue.js';
 import type {EntryInstanceOptions} from './entry_instance_options.js';
+import {cancelledOutcome} from '../cancelled_jobs/cancelled_outcome.js';
 import {checkTaskLoss} from './check_task_loss.js';
 import {JobSubmitter} from './job_submitter.js';
 import {KeepAliveSender} from './keep_alive_sender.js';
@@ -52,6 +56,7 @@
   private finder!: SchedulerFinder;
   private interrupted!: InterruptedJobs;
   private submitter!: JobSubmitter;
+  private cancellations!: JobCancellations;
   private staleTargets!: StaleTargetRemover;
   private keepAlives!: KeepAliveSender;
   private requesters!: RequesterMonitor;
@@ -119,6 +124,7 @@
       ...this.schedulers.gauges(),
       held_submissions: this.interrupted.heldSubmissions,
       all_jobs_held_ms: this.interrupted.allHeldMs,
+      cancelled_jobs: this.cancellations.size,
       state_index: this.store.index,
       configuration_revision: this.configurationRevision ?? 0,
     };
@@ -144,7 +150,21 @@
    * @returns The outcome; only a refusal guarantees that no task has run.
    */
   submit(job: ScheduledJob, signal: AbortSignal): Promise<JobOutcome> {
-    return this.submitter.submit(job, signal);
+    return this.cancellations.run(job, signal, (current, either) =>
+      this.submitter.submit(current, either),
+    );
+  }
+
+  /**
+   * Cancels a job at all instances, whichever has it, and refuses copies of it
+   * that arrive later.
+   *
+   * @param jobId - The job.
+   * @param leftMs - Time for which the caller waits, in milliseconds.
+   * @returns Whether the job is known to be cancelled.
+   */
+  cancel(jobId: JobId, leftMs?: number): Promise<CancellationResult> {
+    return this.cancellations.cancel(jobId, leftMs);
   }
 
   /** Replaces the seeds after a settings reload. */
@@ -179,6 +199,7 @@
       maxTargets: opts.maxTargets,
       shouldLink: (peer, state) =>
         this.linkPolicy.shouldLink(peer, state.schedulers),
+      onLinkUp: peer => this.cancellations.tellMissed(peer),
       onLinkDown: peer => this.handleLinkDown(peer),
       onIncarnationChanged: () => this.applyGrants(store.state),
     });
@@ -193,6 +214,13 @@
     });
     this.interrupted = this.createInterruptedJobs();
     this.submitter = this.createSubmitter(opts.cfg.instanceId);
+    this.cancellations = JobCancellations.create({
+      clock: opts.clock,
+      log: opts.log,
+      network,
+      stateInstances: () => this.linkedStateInstances(),
+      endJob: jobId => this.schedulers.endJob(jobId),
+    });
     this.staleTargets = StaleTargetRemover.create({
       clock: opts.clock,
       log: opts.log,
@@ -226,6 +254,9 @@
     const firstShard = shardIdOf(this.opts.cfg.dataCentre, 0);
     network.onCall('scheduleJob', async (from, req) => {
       const {job, shard = firstShard, keepAliveMs, submissionId} = req;
+      if (this.cancellations.has(job.id)) {
+        return {outcome: cancelledOutcome(job)};
+      }
       return {
         outcome: await this.schedulers.submit(
           from,
@@ -329,17 +360,21 @@
       dataCentre: cfg.dataCentre,
       network,
       entries: () => livePeersOf('entry', membership, network),
-      stateInstances: () => {
-        const peers = livePeersOf('state', membership, network);
-        const isRemote = (id: InstanceId): number =>
-          Number(peers.get(id) !== cfg.dataCentre);
-        return [...peers.keys()].sort((a, b) => isRemote(a) - isRemote(b));
-      },
+      stateInstances: () => this.linkedStateInstances(),
       inFlightKeepers: () => inFlightKeepersOf(membership, network),
       runsEndAfterMs: runsEndAfterLossMs(timing),
     });
   }
 
+  /** Linked state instances that are alive, the nearest first. */
+  private linkedStateInstances(): InstanceId[] {
+    const {membership, network} = this.node;
+    const peers = livePeersOf('state', membership, network);
+    const isRemote = (id: InstanceId): number =>
+      Number(peers.get(id) !== this.opts.cfg.dataCentre);
+    return [...peers.keys()].sort((a, b) => isRemote(a) - isRemote(b));
+  }
+
   private handleLinkDown(peer: InstanceId): void {
     this.schedulers.cancelAllOf(peer, 'linkLost');
     this.interrupted.recordLoss(peer);
--- a/packages/daemon/src/entry_instance/local_schedulers.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.ts
@@ -245,6 +245,15 @@
     }
   }
 
+  /** Ends a job that its caller has cancelled, whichever instances wait for it. */
+  endJob(jobId: JobId): void {
+    for (const [shard, byJob] of this.submissions) {
+      if (byJob.has(jobId)) {
+        this.schedulers.get(shard)?.cancel(jobId, 'cancelledByCaller');
+      }
+    }
+  }
+
   /**
    * Monotonic time at which an instance that waits for a job was last heard, in
    * milliseconds; undefined if one of them isn't heard while it waits, -Infinity
--- a/packages/daemon/src/state_instance/state_instance.ts
+++ b/packages/daemon/src/state_instance/state_instance.ts
@@ -11,6 +11,7 @@
 import type {AcceptedConfiguration} from '@papayarun/releases';
 import {ControlStore} from '@papayarun/releases';
 import {Replica} from '@papayarun/replication';
+import {CancellationRelay} from '../cancelled_jobs/cancellation_relay.js';
 import {ClusterNode} from '../cluster_node/cluster_node.js';
 import type {PeerDiscovery} from '../cluster_node/peer_discovery.js';
 import {InterruptedJobRelay} from '../interrupted_jobs/interrupted_job_relay.js';
@@ -54,6 +55,7 @@
   private interruptedJobs!: InterruptedJobRelay;
   private granter!: SchedulerGranter;
   private assigner!: TargetAssigner;
+  private cancellations!: CancellationRelay;
   targetDirectory!: TargetDirectory;
 
   private constructor(private readonly opts: StateInstanceOptions) {}
@@ -197,6 +199,15 @@
       network,
       entries: () => livePeersOf('entry', membership, network),
     });
+    this.cancellations = CancellationRelay.create({
+      clock: opts.clock,
+      network,
+      entries: heardWithinMs =>
+        membership
+          .peersHeardWithin(heardWithinMs)
+          .filter(({heartbeat}) => heartbeat.role === 'entry')
+          .map(({instanceId}) => instanceId),
+    });
     this.targetDirectory = TargetDirectory.create({
       network,
       clock: opts.clock,
@@ -232,6 +243,7 @@
     if (this.node.membership.peer(peer)?.heartbeat.role !== 'state') {
       this.interruptedJobs.recordLink(peer);
     }
+    this.cancellations.tellMissed(peer);
   }
 
   private openReplica(
--- a/packages/membership/src/membership/membership.test.ts
+++ b/packages/membership/src/membership/membership.test.ts
@@ -177,6 +177,25 @@
     ]);
   });
 
+  it('tells which silent peers may still run', async () => {
+    const cluster = new TestCluster(3);
+    await cluster.clock.advance(5_100);
+    const [ended, silent, observer] = cluster.members as [
+      Member,
+      Member,
+      Member,
+    ];
+    const heardWithin = (ms: number): InstanceId[] =>
+      observer.membership.peersHeardWithin(ms).map(peer => peer.instanceId);
+    ended.end.gate.close();
+    silent.end.gate.close();
+    observer.membership.recordEnd(ended.name);
+    await cluster.clock.advance(2_000);
+    expect(heardWithin(3_000)).toEqual([silent.name]);
+    await cluster.clock.advance(2_000);
+    expect(heardWithin(3_000)).toEqual([]);
+  });
+
   it('withdraws the ends of a data centre when one of them proves wrong, and keeps them when a peer has restarted', async () => {
     const cluster = new TestCluster(4);
     await cluster.clock.advance(5_100);
--- a/packages/membership/src/membership/membership.ts
+++ b/packages/membership/src/membership/membership.ts
@@ -124,6 +124,20 @@
     return [...this.alive].map(id => this.peers.get(id)!);
   }
 
+  /**
+   * States of the peers that were heard within a time, without those whose
+   * process is known to have ended since.
+   *
+   * @param ms - The time in milliseconds.
+   * @returns The states.
+   */
+  peersHeardWithin(ms: number): PeerState[] {
+    const sinceMs = this.opts.clock.now() - ms;
+    return [...this.peers.values()].filter(
+      ({hasEnded, lastHeardMs}) => !hasEnded && lastHeardMs >= sinceMs,
+    );
+  }
+
   /**
    * Live instances of this data centre that accept work, sorted by id.
    * Includes this instance unless it is draining; never empty, since this
--- a/packages/protocol/src/event_log/event_catalogue.ts
+++ b/packages/protocol/src/event_log/event_catalogue.ts
@@ -425,6 +425,11 @@
     level: 'warn',
     text: 'decision: all jobs are held, since more were interrupted at once than can be named; the event has how long',
   },
+  jobCancelled: {
+    number: 7020,
+    level: 'info',
+    text: 'caller cancelled a job by its id; the event has whether it was in progress, and whether all instances confirmed',
+  },
   jobUnsupported: {
     number: 7009,
     level: 'warn',
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -35,6 +35,8 @@
 export * from './job/job_view.js';
 export * from './job/task_spec.js';
 export * from './messages/append_call.js';
+export * from './messages/cancel_jobs_call.js';
+export * from './messages/cancelled_job.js';
 export * from './messages/claim_answered.js';
 export * from './messages/claim_ended.js';
 export * from './messages/claim_call.js';
--- a/packages/protocol/src/messages/peer_calls.ts
+++ b/packages/protocol/src/messages/peer_calls.ts
@@ -1,3 +1,4 @@
+import type {CancelJobsCall} from './cancel_jobs_call.js';
 import type {ClaimCall} from './claim_call.js';
 import type {ClaimTransferCall} from './claim_transfer_call.js';
 import type {AppendCall} from './append_call.js';
@@ -36,6 +37,7 @@
   job: JobCall;
   scheduleJob: ScheduleJobCall;
   quoteJob: QuoteJobCall;
+  cancelJobs: CancelJobsCall;
   reportTarget: ReportTargetCall;
   listTargets: ListTargetsCall;
   listInstances: ListInstancesCall;
--- a/packages/protocol/src/messages/peer_notices.ts
+++ b/packages/protocol/src/messages/peer_notices.ts
@@ -1,6 +1,7 @@
 import type {JobId} from '../ids/job_id.js';
 import type {Announcement} from '../target/announcement.js';
 import type {RequestId} from '../ids/request_id.js';
+import type {CancelledJob} from './cancelled_job.js';
 import type {ClaimAnswered} from './claim_answered.js';
 import type {ClaimEnded} from './claim_ended.js';
 import type {TaskLoss} from '../scheduling/task_loss.js';
@@ -28,6 +29,11 @@
   keepAlive: Record<string, never>;
   /** Cancels a job at its scheduler because no caller waits for it any more. */
   cancelJob: {readonly jobId: JobId};
+  /**
+   * Names the jobs that were cancelled while the receiver may have been cut off;
+   * versions before it ignore the notice.
+   */
+  cancelledJobs: {readonly jobs: readonly CancelledJob[]};
   /**
    * Names the jobs that the sender has submitted, for the case that it is lost;
    * versions before it ignore the notice.
--- a/packages/protocol/src/scheduling/job_failure.ts
+++ b/packages/protocol/src/scheduling/job_failure.ts
@@ -9,4 +9,6 @@
   | 'deadline'
   | 'schedulerLost'
   | 'cancelled'
+  /** Its caller has cancelled it by name, or another one has. */
+  | 'cancelledByCaller'
   | 'neverFits';
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -402,14 +402,19 @@
   }
 
   /**
-   * Cancels a job that no caller waits for any more.
+   * Cancels a job that no caller waits for any more, or that its caller has
+   * cancelled.
    *
    * @param jobId - The job.
+   * @param reason - Which of the two.
    */
-  cancel(jobId: JobId): void {
+  cancel(
+    jobId: JobId,
+    reason: 'cancelled' | 'cancelledByCaller' = 'cancelled',
+  ): void {
     for (const record of [...this.jobs.values()]) {
       if (record.job.id === jobId) {
-        this.failJob(record, 'cancelled');
+        this.failJob(record, reason);
       }
     }
   }
@@ -1075,7 +1080,8 @@
         }
       }
     }
-    const isRefusal = !mayHaveRun(record);
+    // A refused job may be submitted elsewhere, a cancelled one may not.
+    const isRefusal = !mayHaveRun(record) && reason !== 'cancelledByCaller';
     this.concludeJob(
       record,
       isRefusal
