Store changes of the log in groups, and refuse those that can't be in time

Cause: the leader stored one change after another, each in two writes (entry, then commit index), so that a stream faster than that made each change wait longer than the one before. Followers took two writes for each request as well. Proposals queued without bound.

Fix: what arrives during a write of the leader, entries and a new commit index, goes into its next one together, up to 128 entries or 1 MiB. A follower stores the entries and the commit index of a request in one write. An entry counts as stored by the leader only when its write is synced, and is acknowledged only when a majority has stored it and the leader has synced the commit index, as before. What needs further writes than the next one is refused at once when these would take half of the proposal's time, by the duration of the last write or a longer one in progress, and beyond 4,096 entries or 16 MiB; it is never stored. The control client then answers `notRun` (503) and doesn't ask again. Entries that aren't written yet when a leader steps down are answered at once, so that their callers ask the next leader.

The answer `refused` to a proposal is new; a previous version asks the next instance, as after `notLeader`.

--- a/packages/daemon/src/control_client/control_client.test.ts
+++ b/packages/daemon/src/control_client/control_client.test.ts
@@ -278,6 +278,35 @@
   });
 
   // A compaction that the disk had no room for ended the leadership, after each change.
+  it('does not send a command again that the leader has no time for', async () => {
+    const clock = VirtualClock.create();
+    const net = MemoryNetwork.create(clock, SeededRandom.create(1), 1);
+    const replicaInstances = ['a', 'b', 'c'] as InstanceId[];
+    let calls = 0;
+    for (const id of replicaInstances) {
+      net.join(id).onCall('propose', () => {
+        calls++;
+        return Promise.resolve({kind: 'refused', reason: 'too many'});
+      });
+    }
+    const client = ControlClient.create({
+      network: net.join('d' as InstanceId),
+      clock,
+      store: ControlStore.create(),
+      replica: undefined,
+      replicaInstances,
+      leaderTimeoutMs: LEADER_TIMEOUT_MS,
+    });
+    const proposed = client
+      .propose({kind: 'applyConfiguration', revision: 1, content: {}})
+      .catch((err: unknown) => err);
+    await clock.advance(10);
+    expect(await proposed).toMatchObject({
+      refusal: {code: 'queueFull', verdict: {kind: 'notRun'}},
+    });
+    expect(calls).toBe(1);
+  });
+
   it('keeps its leader while the disks have room for changes but not for a compaction', async () => {
     for (let seed = 21; seed < 25; seed++) {
       const cluster = new ControlCluster(seed, SMALL_BYTES, COMPACT_SOON);
--- a/packages/daemon/src/control_client/control_client.ts
+++ b/packages/daemon/src/control_client/control_client.ts
@@ -76,7 +76,8 @@
    * @param command - The command.
    * @returns Result of the command; if this instance leads, it has applied the
    *   command too.
-   * @throws DispatchError `notRun` when no leader is reachable, `mayHaveRun`
+   * @throws DispatchError `notRun` when no leader is reachable or it refuses the
+   *   command, since it could not be committed in time, `mayHaveRun`
    *   when a leader was lost that may have committed the command.
    */
   async propose(command: ControlCommand): Promise<ControlResult> {
@@ -103,6 +104,13 @@
           this.lastLeader = instance;
           return decodeMessage(res.result) as ControlResult;
         }
+        if (res.kind === 'refused') {
+          this.lastLeader = instance;
+          throw DispatchError.notRun(
+            'queueFull',
+            `the leader of the release log refused the command: ${res.reason}`,
+          );
+        }
         if (res.kind === 'unknown') {
           throw DispatchError.mayHaveRun(
             'noQuorum',
--- a/packages/protocol/src/messages/propose_call.ts
+++ b/packages/protocol/src/messages/propose_call.ts
@@ -10,5 +10,10 @@
         readonly result: Uint8Array;
       }
     | {readonly kind: 'notLeader'}
+    /**
+     * The leader could not commit it in time, and never will. Versions before it
+     * try the next instance, as after `notLeader`.
+     */
+    | {readonly kind: 'refused'; readonly reason: string}
     | {readonly kind: 'unknown'; readonly reason: string};
 }
--- a/packages/replication/src/replica/leadership.ts
+++ b/packages/replication/src/replica/leadership.ts
@@ -2,16 +2,10 @@
 import {isQuorum} from '../quorum/is_quorum.js';
 import {quorumValue} from '../quorum/quorum_value.js';
 import type {ReplicaLog} from '../replica_log/replica_log.js';
+import {APPEND_LIMITS} from './append_limits.js';
 import {firstEntriesWithin} from './first_entries_within.js';
 import type {ReplicaOptions} from './replica_options.js';
 
-/** Largest number of entries in one append request. */
-const MAX_ENTRIES_PER_APPEND = 128;
-/**
- * Bytes of commands after which an append request gets no further entry, so that
- * it fits into a frame and into the election timeout.
- */
-const MAX_BYTES_PER_APPEND = 1024 * 1024;
 /** Heartbeats that a leader sends per election timeout. */
 const HEARTBEATS_PER_TIMEOUT = 4;
 /** Election timeouts that a silent member's last acknowledgement is behind the majority's. */
@@ -23,6 +17,8 @@
 export interface LeadershipContext {
   readonly opts: ReplicaOptions;
   readonly log: ReplicaLog;
+  /** Number of entries that wait for their turn to be stored by this replica. */
+  queuedEntries(): number;
   /** Called when a majority stores the entries up to an index. */
   onMajority(index: number): void;
   /** Called when a peer has a higher term, or no majority responds. */
@@ -37,8 +33,6 @@
 export class Leadership {
   /** Index of the first entry of this term. */
   firstIndex = 0;
-  /** Entries that wait for their turn to be stored by this replica. */
-  queuedEntries = 0;
   /** Milliseconds for which nothing was committed while entries wait. */
   stalledMs = 0;
   private readonly endController = new AbortController();
@@ -237,8 +231,8 @@
     const needsSnapshot = nextIndex <= log.snapshot.index;
     const prevIndex = needsSnapshot ? log.snapshot.index : nextIndex - 1;
     const entries = firstEntriesWithin(
-      log.slice(prevIndex + 1, MAX_ENTRIES_PER_APPEND),
-      MAX_BYTES_PER_APPEND,
+      log.slice(prevIndex + 1, APPEND_LIMITS.maxEntries),
+      APPEND_LIMITS.maxBytes,
     );
     try {
       return await opts.network.call(
@@ -300,10 +294,10 @@
 
   /** Measures for how long nothing was committed, and tells it at intervals. */
   private checkProgress(): void {
-    const {log, opts} = this.context;
+    const {log, opts, queuedEntries} = this.context;
     const {commitIndex, lastIndex} = log;
     const nowMs = opts.clock.now();
-    const isWaiting = this.queuedEntries > 0 || lastIndex > commitIndex;
+    const isWaiting = queuedEntries() > 0 || lastIndex > commitIndex;
     if (!isWaiting || commitIndex > this.progress.commitIndex) {
       this.progress = {commitIndex, ms: nowMs};
       this.tellStallAtMs = this.stallIntervalMs;
--- a/packages/replication/src/replica/replica.test.ts
+++ b/packages/replication/src/replica/replica.test.ts
@@ -378,7 +378,12 @@
   const node = cluster.nodes[step.at % cluster.nodes.length]!;
   switch (step.kind) {
     case 'propose':
-      cluster.nodes.forEach(to => cluster.propose(to, `${n}${to.name}`));
+      // Those after the first one wait for its write.
+      for (const part of ['', 'b', 'c']) {
+        cluster.nodes.forEach(to =>
+          cluster.propose(to, `${n}${to.name}${part}`),
+        );
+      }
       await cluster.clock.advance(step.at * 2);
       return;
     case 'crash':
--- a/packages/replication/src/replica/replica.ts
+++ b/packages/replication/src/replica/replica.ts
@@ -14,8 +14,11 @@
 import type {DiscoveredReplica} from '../next_replica_set/discovered_replica.js';
 import {nextReplicaSet} from '../next_replica_set/next_replica_set.js';
 import {ReplicaLog} from '../replica_log/replica_log.js';
+import type {EntryBody} from './entry_body.js';
 import {gatherVotes} from './gather_votes.js';
+import {GroupCommit} from './group_commit.js';
 import {Leadership} from './leadership.js';
+import type {QueuedEntry} from './queued_entry.js';
 import type {ReplicaOptions} from './replica_options.js';
 import {discoverReplicas} from './discover_replicas.js';
 
@@ -34,12 +37,6 @@
 
 type Role = ReplicaStatusCall['res']['role'];
 
-/** Log entry without its index and term. */
-type EntryBody =
-  | {readonly kind: 'noop'}
-  | {readonly kind: 'replicas'; readonly replicas: ReplicaLog['replicas']}
-  | {readonly kind: 'command'; readonly command: Uint8Array};
-
 /** Proposal that waits for its entry to be committed. */
 interface PendingProposal {
   readonly term: number;
@@ -62,6 +59,8 @@
   private role: Role = 'follower';
   private leader: ReplicaId | undefined;
   private leadership: Leadership | undefined;
+  /** Writes of the current leadership. */
+  private groupCommit: GroupCommit | undefined;
   private lastContactMs: number;
   private lastApplied = 0;
   /** Time before which a compaction that failed isn't tried again. */
@@ -176,14 +175,14 @@
    * Commits a command if this replica is the leader.
    *
    * @param command - Command for the state machine.
-   * @returns The result of the command, `notLeader`, or `unknown` when the
-   * command may or may not be committed.
+   * @returns The result of the command, `notLeader`, `refused` when it could not
+   * be committed in time, or `unknown` when it may or may not be committed.
    * @throws Error when the command could not be applied; once in the log, it
    * would stop all replicas.
    */
   async propose(command: Uint8Array): Promise<ProposeCall['res']> {
-    const leadership = this.leadership;
-    if (!leadership) {
+    const {groupCommit, leadership} = this;
+    if (!leadership || !groupCommit) {
       return {kind: 'notLeader'};
     }
     const problem = this.opts.problemOf(command);
@@ -192,21 +191,47 @@
       throw new Error(`the command can't be applied: ${problem}`);
     }
     const settled = new AbortController();
-    const timeoutMs = PROPOSE_TIMEOUT_FACTOR * this.opts.electionTimeoutMs;
-    const timedOut = this.opts.clock
-      .sleep(timeoutMs, settled.signal)
-      .then((): ProposeCall['res'] => ({
-        kind: 'unknown',
-        reason: 'no majority in time',
-      }));
     const committed = new Promise<ProposeCall['res']>(resolve => {
-      void this.appendAsLeader(leadership, {kind: 'command', command}, resolve);
+      const entry = this.queuedCommand(command, leadership.term, resolve);
+      if (!groupCommit.tryAdd(entry)) {
+        resolve({kind: 'refused', reason: 'too many changes wait'});
+        return;
+      }
+      void this.opts.clock
+        .sleep(this.proposeTimeoutMs, settled.signal)
+        .then(() => resolve({kind: 'unknown', reason: 'no majority in time'}));
     });
-    const res = await Promise.race([committed, timedOut]);
+    const res = await committed;
     settled.abort();
     return res;
   }
 
+  /** Entry of a proposal, which is resolved when it is committed or can't be. */
+  private queuedCommand(
+    command: Uint8Array,
+    term: number,
+    resolve: PendingProposal['resolve'],
+  ): QueuedEntry {
+    return {
+      body: {kind: 'command', command},
+      onEnd: end => {
+        switch (end.kind) {
+          case 'stored':
+            this.pendingProposals.set(end.index, {term, resolve});
+            return;
+          case 'notStored':
+            resolve({kind: 'notLeader'});
+            return;
+          case 'failed':
+            resolve({kind: 'unknown', reason: end.reason});
+            return;
+          default:
+            end satisfies never;
+        }
+      },
+    };
+  }
+
   /**
    * Returns an index at or after every entry committed before the call.
    *
@@ -224,30 +249,14 @@
       : {kind: 'notLeader'};
   }
 
-  /** Appends an entry as leader. */
-  private async appendAsLeader(
-    leadership: Leadership,
-    body: EntryBody,
-    resolve: (res: ProposeCall['res']) => void,
-  ): Promise<void> {
-    leadership.queuedEntries++;
-    await this.runExclusive(async () => {
-      leadership.queuedEntries--;
-      if (leadership.isOver) {
-        resolve({kind: 'notLeader'});
-        return;
-      }
-      const index = this.log.lastIndex + 1;
-      const entry = {...body, index, term: leadership.term} as LogEntry;
-      try {
-        await this.log.append([entry]);
-      } catch (err) {
-        this.handleDiskError(err);
-        resolve({kind: 'unknown', reason: (err as Error).message});
-        return;
+  /** Appends an entry of the leader's own; resolves when it is stored, or can't be. */
+  private appendAsLeader(body: EntryBody): Promise<void> {
+    return new Promise(resolve => {
+      if (this.groupCommit) {
+        this.groupCommit.add({body, onEnd: () => resolve()});
+      } else {
+        resolve();
       }
-      this.pendingProposals.set(index, {term: leadership.term, resolve});
-      leadership.wake();
     });
   }
 
@@ -315,9 +324,10 @@
           matchIndex: Math.max(log.commitIndex, matchIndex),
         };
       }
-      await log.append(this.missingEntries(req));
       const matchIndex = req.prevIndex + req.entries.length;
-      await this.commit(Math.min(req.commitIndex, matchIndex));
+      const commitIndex = Math.min(req.commitIndex, matchIndex);
+      await log.append(this.missingEntries(req), commitIndex);
+      await this.applyAndCompact();
       return {term: log.term, ok: true, matchIndex};
     } catch (err) {
       this.handleDiskError(err);
@@ -407,6 +417,10 @@
     );
   }
 
+  private get proposeTimeoutMs(): number {
+    return PROPOSE_TIMEOUT_FACTOR * this.opts.electionTimeoutMs;
+  }
+
   /** Milliseconds that the running change of durable state has taken so far. */
   private changeMs(): number {
     const nowMs = this.opts.clock.now();
@@ -478,33 +492,36 @@
       {
         opts: this.opts,
         log: this.log,
-        onMajority: index =>
-          void this.runExclusive(() => this.commitAsLeader(leadership, index)),
+        queuedEntries: () => groupCommit.queuedEntries,
+        onMajority: index => groupCommit.commit(index),
         onStepDown: newTerm => this.stepDown(leadership, newTerm),
         onStalled: () => this.handleStall(leadership),
       },
       term,
     );
+    const groupCommit = GroupCommit.create({
+      clock: this.opts.clock,
+      log: this.log,
+      term,
+      timeoutMs: this.proposeTimeoutMs,
+      runExclusive: change => this.runExclusive(change),
+      onWritten: () => this.handleWritten(leadership),
+      onFailed: err => this.handleDiskError(err),
+    });
     leadership.firstIndex = this.log.lastIndex + 1;
     this.leadership = leadership;
+    this.groupCommit = groupCommit;
     this.setRole('leader', this.log.replicaId);
-    void this.appendAsLeader(leadership, {kind: 'noop'}, () => undefined);
+    void this.appendAsLeader({kind: 'noop'});
     void this.membershipChangeLoop(leadership);
   }
 
-  private async commitAsLeader(
-    leadership: Leadership,
-    index: number,
-  ): Promise<void> {
-    if (leadership.isOver || index <= this.log.commitIndex) {
-      return;
-    }
-    try {
-      await this.commit(index);
+  /** Replicates what this leader has stored, and applies what it has committed. */
+  private async handleWritten(leadership: Leadership): Promise<void> {
+    if (!leadership.isOver) {
       leadership.wake();
-    } catch (err) {
-      this.handleDiskError(err);
     }
+    await this.applyAndCompact();
   }
 
   /** Ends the leadership at once, since the disk may keep a queued task waiting. */
@@ -529,7 +546,7 @@
       stepsDown,
       stalledMs: Math.round(leadership.stalledMs),
       ownChangeMs: Math.round(this.changeMs()),
-      queued: leadership.queuedEntries,
+      queued: this.groupCommit?.queuedEntries,
       uncommitted: log.lastIndex - log.commitIndex,
     });
     if (stepsDown) {
@@ -558,11 +575,7 @@
       ) {
         const {kind, replicas} = change;
         this.opts.log.emit('replicaSet', {change: kind, ...replicas});
-        await this.appendAsLeader(
-          leadership,
-          {kind: 'replicas', replicas},
-          () => undefined,
-        );
+        await this.appendAsLeader({kind: 'replicas', replicas});
       }
     }
   }
@@ -589,18 +602,18 @@
     return commitIndex >= leadership.firstIndex && commitIndex >= replicasIndex;
   }
 
-  /** Persists the commit index, then applies the entries up to it. */
-  private async commit(index: number): Promise<void> {
-    if (index <= this.log.commitIndex) {
-      return;
+  /** Applies what was committed by the last write, and compacts a long log. */
+  private async applyAndCompact(): Promise<void> {
+    if (this.lastApplied < this.log.commitIndex) {
+      this.applyCommitted();
+      await this.compactIfLong();
     }
-    // The commit index is synced before the state is served, so that a restart
-    // never serves an older state.
-    await this.log.setCommitIndex(index);
-    this.applyCommitted();
-    await this.compactIfLong();
   }
 
+  /**
+   * Applies the committed entries. The commit index is synced before, so that a
+   * restart never serves an older state.
+   */
   private applyCommitted(): void {
     while (this.lastApplied < this.log.commitIndex) {
       const entry = this.log.entryAt(this.lastApplied + 1)!;
@@ -674,6 +687,8 @@
   private endLeadership(): void {
     this.leadership?.end();
     this.leadership = undefined;
+    this.groupCommit?.end();
+    this.groupCommit = undefined;
   }
 
   private setRole(role: Role, leader: ReplicaId | undefined): void {
--- a/packages/replication/src/replica_log/replica_log.ts
+++ b/packages/replication/src/replica_log/replica_log.ts
@@ -112,22 +112,30 @@
     await this.write([{k: 'vote', term, votedFor}]);
   }
 
-  async setCommitIndex(index: number): Promise<void> {
-    await this.write([{k: 'commit', index}]);
-  }
-
-  /** Appends entries, after removing those from the index of the first one onwards. */
-  async append(entries: readonly LogEntry[]): Promise<void> {
+  /**
+   * Appends entries, after removing those from the index of the first one onwards,
+   * and advances the commit index, all in one write.
+   *
+   * @param entries - The entries; none for a change of the commit index alone.
+   * @param commitIndex - Highest index that is known to be committed.
+   * @throws JournalAppendError when the disk fails to write them.
+   */
+  async append(
+    entries: readonly LogEntry[],
+    commitIndex = this.commitIndex,
+  ): Promise<void> {
     const first = entries[0];
-    if (!first) {
-      return;
+    const records: JournalRecord[] = [];
+    if (first && first.index <= this.lastIndex) {
+      records.push({k: 'cut', index: first.index});
+    }
+    records.push(...entries.map(entry => ({k: 'entry', entry}) as const));
+    if (commitIndex > this.commitIndex) {
+      records.push({k: 'commit', index: commitIndex});
+    }
+    if (records.length > 0) {
+      await this.write(records);
     }
-    const truncation: JournalRecord[] =
-      first.index <= this.lastIndex ? [{k: 'cut', index: first.index}] : [];
-    await this.write([
-      ...truncation,
-      ...entries.map(entry => ({k: 'entry', entry}) as const),
-    ]);
   }
 
   /** Replaces the whole log by a snapshot from the leader. */
