Report a job that only its scheduler still has as cancelled

What callers saw: in a trial of 300 jobs that were all cancelled at once, 37 DELETEs of jobs in progress got 410 instead of 200; all jobs had ended.

Cause: the scheduler that is told first ends the job, and the entry that submitted it has its outcome before it is told itself. Only that entry counted as having it.

Fix: a scheduler that has the job counts as well.

Evidence: the new test fails without the fix (1 of 12 in job_cancellations.test.ts).

--- a/packages/daemon/src/cancelled_jobs/job_cancellations.test.ts
+++ b/packages/daemon/src/cancelled_jobs/job_cancellations.test.ts
@@ -55,6 +55,8 @@
   readonly submitted: JobId[] = [];
   /** Jobs ended at the schedulers of an entry, with the entry. */
   readonly ended: string[] = [];
+  /** Entry whose schedulers have all jobs, if there is one. */
+  scheduledAt: InstanceId | undefined;
   /** Time at which an entry was heard last, where it isn't heard any more. */
   private readonly lastHeardMs = new Map<InstanceId, number>();
 
@@ -80,7 +82,10 @@
       log: SilentLog.create(),
       network: this.network.join(id),
       stateInstances: () => STATES,
-      endJob: jobId => this.ended.push(`${id} ${jobId}`),
+      endJob: jobId => {
+        this.ended.push(`${id} ${jobId}`);
+        return this.scheduledAt === id;
+      },
     });
     this.cancellations.set(id, cancellations);
   }
@@ -165,6 +170,17 @@
     );
   });
 
+  // Its scheduler ends it before the entry that submitted it is told.
+  it('is not said to be unknown when its scheduler has it', async () => {
+    for (const entry of [ENTRY_1, ENTRY_2]) {
+      const group = new EntryGroup();
+      group.scheduledAt = entry;
+      const cancelled = group.cancel(ENTRY_1);
+      await group.clock.advance(20);
+      expect(cancelled.result).toBe('cancelled');
+    }
+  });
+
   it('does not start when a copy arrives at any entry later', async () => {
     const group = new EntryGroup();
     const cancelled = group.cancel(ENTRY_1);
--- a/packages/daemon/src/cancelled_jobs/job_cancellations.ts
+++ b/packages/daemon/src/cancelled_jobs/job_cancellations.ts
@@ -197,17 +197,19 @@
 
   /** Records cancelled jobs, and ends those that are in progress here. */
   private accept(jobs: readonly CancelledJob[]): CancelJobsCall['res'] {
-    const found = jobs
-      .map(({jobId}) => jobId)
-      .filter(jobId => this.requests.has(jobId));
+    const found = new Set(
+      jobs.map(({jobId}) => jobId).filter(jobId => this.requests.has(jobId)),
+    );
     const added = this.table.add(jobs);
     for (const jobId of added ?? []) {
       this.requests.get(jobId)?.forEach(request => request.abort());
-      this.opts.endJob(jobId);
+      if (this.opts.endJob(jobId)) {
+        found.add(jobId);
+      }
     }
     return {
       accepted: added !== undefined,
-      found,
+      found: [...found],
       confirmed: [],
       unconfirmed: [],
     };
--- a/packages/daemon/src/cancelled_jobs/job_cancellations_options.ts
+++ b/packages/daemon/src/cancelled_jobs/job_cancellations_options.ts
@@ -18,6 +18,6 @@
   >;
   /** Linked state instances that are alive. */
   readonly stateInstances: () => readonly InstanceId[];
-  /** Ends a job at the schedulers of this instance. */
-  readonly endJob: (jobId: JobId) => void;
+  /** Ends a job at the schedulers of this instance; false if they don't have it. */
+  readonly endJob: (jobId: JobId) => boolean;
 }
--- a/packages/daemon/src/entry_instance/local_schedulers.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.ts
@@ -245,13 +245,21 @@
     }
   }
 
-  /** Ends a job that its caller has cancelled, whichever instances wait for it. */
-  endJob(jobId: JobId): void {
+  /**
+   * Ends a job that its caller has cancelled, whichever instances wait for it.
+   *
+   * @param jobId - The job.
+   * @returns Whether it was scheduled here.
+   */
+  endJob(jobId: JobId): boolean {
+    let isFound = false;
     for (const [shard, byJob] of this.submissions) {
       if (byJob.has(jobId)) {
+        isFound = true;
         this.schedulers.get(shard)?.cancel(jobId, 'cancelledByCaller');
       }
     }
+    return isFound;
   }
 
   /**
