List the run that starts before its interruption is known as known red

A caller that is back before the notice of the interruption gets its job run beside the first run if a target is free at once: the second run has started when the notice comes. Not fixed: an entry can't tell a job that is sent again from a new one, and each way to ask before a first start delays all jobs.

--- a/packages/daemon/src/entry_instance/late_interruptions.test.ts
+++ b/packages/daemon/src/entry_instance/late_interruptions.test.ts
@@ -62,6 +62,19 @@
     },
   );
 
+  // KNOWN-RED.txt: the second run has started when the notice arrives.
+  it('does not get its job run beside runs of a lost entry when a target is free', async () => {
+    const group = EntryGroup.create(900, STATE_INSTANCES);
+    await group.clock.advance(50);
+    group.submit(CENTRO_1);
+    await group.clock.advance(100);
+    void group.kill(CENTRO_1);
+    await group.clock.advance(EARLY_RETURN_MS);
+    group.submit(SERRA_2);
+    await group.clock.advance(2_000);
+    expect(group.concurrentRuns).toEqual([]);
+  });
+
   it('gets its job run when the runs of its caller that left have ended', async () => {
     const group = EntryGroup.create(900, STATE_INSTANCES);
     const caller = new AbortController();
