Spill only to instances whose link is open

Callers saw: 502 keeperLost, "not run", for repeatable requests at an instance that could have queued them in its own data centre.

Cause: a peer counts as alive for up to peerTimeoutMs after its link was lost. While the own data centre had no free slot, all three routing attempts of a request went to such peers of another data centre, each at once and in vain.

Evidence: "fails no request when instances shut down on SIGTERM (with ids: false)" beside 8 busy processes (load average 47): 8 requests were refused at two instances, the last attempt of each "could not be reached", at a peer of the other data centre.

Fix: the choice of the instance to spill to is a function of its own, which leaves out peers without a link. The request then waits in its own data centre as it does when no other has room. Nothing more is sent than before.

--- a/packages/dispatch/src/router/router.ts
+++ b/packages/dispatch/src/router/router.ts
@@ -17,6 +17,8 @@
 } from '@papayarun/protocol';
 import {chooseKeeper} from '../choose_keeper/choose_keeper.js';
 import type {KeeperCandidate} from '../choose_keeper/keeper_candidate.js';
+import {chooseSpillInstance} from '../choose_spill_instance/choose_spill_instance.js';
+import type {SpillCandidate} from '../choose_spill_instance/spill_candidate.js';
 import {RetryBudget} from '../retry_budget/retry_budget.js';
 import type {RouterOptions} from './router_options.js';
 
@@ -370,7 +372,7 @@
   }
 
   /**
-   * Finds the instance whose data centre has the most free slots, if this data
+   * Finds the linked instance whose data centre has the most free slots, if this data
    * centre has no free slot and at least as much work of the kind as slots.
    */
   private findSpillInstance(
@@ -387,25 +389,26 @@
     if (free > 0 || (slots > 0 && workOfKind < slots)) {
       return undefined;
     }
-    let best: {readonly id: InstanceId; readonly free: number} | undefined;
-    for (const peer of this.opts.membership.livePeers()) {
-      const {dataCentre, state} = peer.heartbeat;
-      const peerCapacity = this.peerCapacities.get(peer.instanceId);
-      const dataCentreDigest = peerCapacity?.digest.dataCentre[work.service];
-      const remainingFree =
-        (dataCentreDigest?.free ?? 0) -
-        (peerCapacity?.sentSinceDigest.get(work.service) ?? 0);
-      const isElsewhere =
-        dataCentre !== this.opts.dataCentre && state === 'ready';
-      if (
-        isElsewhere &&
-        !triedInstances.has(peer.instanceId) &&
-        remainingFree > (best?.free ?? 0)
-      ) {
-        best = {id: peer.instanceId, free: remainingFree};
-      }
-    }
-    return best?.id;
+    const linked = new Set(this.opts.network.connectedPeers());
+    const candidates = this.opts.membership
+      .livePeers()
+      .filter(
+        ({instanceId, heartbeat}) =>
+          heartbeat.dataCentre !== this.opts.dataCentre &&
+          heartbeat.state === 'ready' &&
+          !triedInstances.has(instanceId),
+      )
+      .map(({instanceId}): SpillCandidate => {
+        const capacity = this.peerCapacities.get(instanceId);
+        const free = capacity?.digest.dataCentre[work.service]?.free ?? 0;
+        const sent = capacity?.sentSinceDigest.get(work.service) ?? 0;
+        return {
+          instanceId,
+          free: free - sent,
+          isLinked: linked.has(instanceId),
+        };
+      });
+    return chooseSpillInstance(candidates);
   }
 
   private mayRouteAgain(result: Outcome, work: Work): boolean {
