Tell apart copies of a request that are forwarded at once

Callers saw: of two copies of a request with an id, forwarded by the same instance to the home data centre, the second one refused as 'cancelled' with the verdict 'notRun' when the caller of the first one left, although its own caller waited and the work may have run.

Cause: Router held the work of a peer by request id, so that the second copy took the place of the first one, and the end of either removed both.

Why this works: WorkOfPeers holds each call by itself; dispatch and cancelDispatch carry the number of the call as an optional field. A previous version ignores the field and cancels as before; a notice without it, from a previous version, cancels the only copy and leaves several ones running.

--- a/packages/dispatch/src/router/router.ts
+++ b/packages/dispatch/src/router/router.ts
@@ -20,7 +20,9 @@
 import {chooseSpillInstance} from '../choose_spill_instance/choose_spill_instance.js';
 import type {SpillCandidate} from '../choose_spill_instance/spill_candidate.js';
 import {RetryBudget} from '../retry_budget/retry_budget.js';
+import {CANCELLED} from './cancelled.js';
 import type {RouterOptions} from './router_options.js';
+import {WorkOfPeers} from './work_of_peers.js';
 
 /** Routing attempts for one piece of work, the first one included. */
 const MAX_ROUTING_ATTEMPTS = 3;
@@ -47,10 +49,8 @@
   /** Pieces of work forwarded to other instances, for metrics. */
   forwards = 0;
   private readonly peerCapacities = new Map<InstanceId, PeerCapacity>();
-  private readonly inProgressByPeer = new Map<
-    InstanceId,
-    Map<string, AbortController>
-  >();
+  private readonly workOfPeers = WorkOfPeers.create();
+  private lastDispatchNumber = 0;
   private readonly retryBudget: RetryBudget;
 
   private constructor(private readonly opts: RouterOptions) {
@@ -68,12 +68,11 @@
   static create(opts: RouterOptions): Router {
     const router = new Router(opts);
     opts.network.onCall('dispatch', (from, req) => router.serve(from, req));
-    opts.network.onNotice('cancelDispatch', (from, {requestId}) => {
-      router.inProgressByPeer
-        .get(from)
-        ?.get(requestId)
-        ?.abort(cancelledError());
-    });
+    opts.network.onNotice(
+      'cancelDispatch',
+      (from, {requestId, dispatchNumber}) =>
+        router.workOfPeers.cancel(from, requestId, dispatchNumber),
+    );
     return router;
   }
 
@@ -96,22 +95,12 @@
 
   /** Number of pieces of work that run here for other instances. */
   get inProgressForPeers(): number {
-    return [...this.inProgressByPeer.values()].reduce(
-      (sum, requests) => sum + requests.size,
-      0,
-    );
+    return this.workOfPeers.size;
   }
 
   /** Cancels the work of a lost peer, which can no longer receive the answers. */
   cancelWorkOfPeer(peer: InstanceId): void {
-    for (const controller of this.inProgressByPeer.get(peer)?.values() ?? []) {
-      controller.abort(
-        DispatchError.notRun(
-          'keeperLost',
-          'the instance that forwarded the work was lost',
-        ),
-      );
-    }
+    this.workOfPeers.cancelAllOf(peer);
   }
 
   /** Capacity of this instance and of its whole data centre, by service. */
@@ -278,11 +267,13 @@
     const {network} = this.opts;
     this.countSent(to, work);
     this.forwards++;
+    const {requestId} = work;
+    const dispatchNumber = ++this.lastDispatchNumber;
     const cancel = (): void => {
-      network.notify(to, 'cancelDispatch', {requestId: work.requestId});
+      network.notify(to, 'cancelDispatch', {requestId, dispatchNumber});
     };
     if (signal.aborted) {
-      return {kind: 'refused', refusal: cancelledError().refusal};
+      return {kind: 'refused', refusal: CANCELLED.refusal};
     }
     signal.addEventListener('abort', cancel);
     try {
@@ -290,7 +281,7 @@
       const res = await network.call(
         to,
         'dispatch',
-        {stage, work, refusalVersion: REFUSAL_VERSION},
+        {stage, work, refusalVersion: REFUSAL_VERSION, dispatchNumber},
         {timeoutMs},
       );
       this.updatePeerDigest(to, res.digest);
@@ -313,29 +304,26 @@
     from: InstanceId,
     req: DispatchCall['req'],
   ): Promise<DispatchCall['res']> {
-    const controller = new AbortController();
-    const controllers =
-      this.inProgressByPeer.get(from) ?? new Map<string, AbortController>();
-    this.inProgressByPeer.set(from, controllers);
-    controllers.set(req.work.requestId, controller);
-    try {
-      const outcome =
-        req.stage === 'keeper'
-          ? await this.opts.keeper.run(req.work, controller.signal)
-          : await this.serveEntry(req.work, controller.signal);
-      return {
-        outcome:
-          outcome.kind === 'answered'
-            ? outcome
-            : {
-                ...outcome,
-                refusal: refusalForVersion(outcome.refusal, req.refusalVersion),
-              },
-        digest: this.digest(),
-      };
-    } finally {
-      controllers.delete(req.work.requestId);
-    }
+    const {stage, work, refusalVersion, dispatchNumber} = req;
+    const outcome = await this.workOfPeers.run(
+      from,
+      work.requestId,
+      dispatchNumber,
+      signal =>
+        stage === 'keeper'
+          ? this.opts.keeper.run(work, signal)
+          : this.serveEntry(work, signal),
+    );
+    return {
+      outcome:
+        outcome.kind === 'answered'
+          ? outcome
+          : {
+              ...outcome,
+              refusal: refusalForVersion(outcome.refusal, refusalVersion),
+            },
+      digest: this.digest(),
+    };
   }
 
   private serveEntry(work: Work, signal: AbortSignal): Promise<Outcome> {
@@ -446,13 +434,6 @@
   }
 }
 
-function cancelledError(): DispatchError {
-  return DispatchError.notRun(
-    'cancelled',
-    'the requester no longer waits for the answer',
-  );
-}
-
 function unansweredRefusal(to: InstanceId, err: unknown): Refusal {
   if (err instanceof PeerCallError && !err.mayHaveBeenSent) {
     return DispatchError.notRun('keeperLost', `${to} could not be reached`)
--- a/packages/protocol/src/messages/dispatch_call.ts
+++ b/packages/protocol/src/messages/dispatch_call.ts
@@ -15,6 +15,11 @@
     readonly work: Work;
     /** Version of refusals that the sender understands; absent in 1. */
     readonly refusalVersion?: number;
+    /**
+     * Number of the call at the sender, which tells apart copies of a request;
+     * absent in versions before it, and ignored by them.
+     */
+    readonly dispatchNumber?: number;
   };
   readonly res: {
     readonly outcome: Outcome;
--- a/packages/protocol/src/messages/peer_notices.ts
+++ b/packages/protocol/src/messages/peer_notices.ts
@@ -21,7 +21,11 @@
    */
   claimEnded: ClaimEnded;
   /** Cancels a piece of work because no caller waits for it any more. */
-  cancelDispatch: {readonly requestId: RequestId | string};
+  cancelDispatch: {
+    readonly requestId: RequestId | string;
+    /** Number of the call; versions before it cancel one copy of the request. */
+    readonly dispatchNumber?: number;
+  };
   /**
    * Shows that an instance still waits for the jobs that it has submitted, if it
    * sends nothing else; versions before it ignore the notice.
