--- a/packages/daemon/src/entry_instance/local_schedulers.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.ts
@@ -286,10 +286,12 @@
    * have left.
    */
   private otherRunsForMs(shard: ShardId, jobId: JobId): number {
-    const waiting = [...(this.submissions.get(shard)?.get(jobId) ?? [])];
-    const requesters = new Set(waiting.map(({requester}) => requester));
+    const isWaiting = (instance: InstanceId): boolean =>
+      [...(this.submissions.get(shard)?.get(jobId) ?? [])].some(
+        ({requester}) => requester === instance,
+      );
     const isKnown = (submissionId: SubmissionId): boolean =>
-      requesters.has(instanceOfSubmission(submissionId)) ||
+      isWaiting(instanceOfSubmission(submissionId)) ||
       this.unended.has(`${shard} ${submissionId}`);
     return this.opts.otherRunsForMs?.(jobId, isKnown) ?? 0;
   }
