Select backups of two data centres where the own one has none

An entry without another instance of its data centre took the first two of the others as backups, which may be of one data centre and lost with it at once.

Test, red before: one that selects of two data centres.

--- a/packages/daemon/src/interrupted_jobs/select_backups.test.ts
+++ b/packages/daemon/src/interrupted_jobs/select_backups.test.ts
@@ -24,3 +24,9 @@
   expect(select('centro-2')).toEqual(['centro-2']);
   expect(select()).toEqual([]);
 });
+
+it('selects two of different data centres where the own one has none', () => {
+  const names = ['serra-1', 'serra-2', 'serra-3', 'serra-4', 'ribeira-1'];
+  const places = select(...names).map(name => name.split('-')[0]);
+  expect(new Set(places)).toEqual(new Set(['serra', 'ribeira']));
+});
--- a/packages/daemon/src/interrupted_jobs/select_backups.ts
+++ b/packages/daemon/src/interrupted_jobs/select_backups.ts
@@ -4,11 +4,12 @@
 /**
  * Selects the instances that are told of the jobs in flight at an instance: one of
  * its data centre, where its callers come back, and one of another data centre,
- * which is left when both are lost at once.
+ * which is left when both are lost at once. Where there is none of its own, of two
+ * others.
  *
  * @param self - The instance.
  * @param dataCentre - Its data centre.
- * @param peers - Linked entry instances that are alive, with their data centre.
+ * @param peers - Linked instances that may be selected, with their data centre.
  * @returns At most two of them.
  * @throws Never.
  * @example
@@ -20,9 +21,12 @@
   peers: ReadonlyMap<InstanceId, DataCentreId>,
 ): InstanceId[] {
   const ordered = rendezvousOrder(self, [...peers.keys()]);
-  const near = ordered.find(id => peers.get(id) === dataCentre);
-  const far = ordered.find(id => peers.get(id) !== dataCentre);
-  const backups =
-    near === undefined || far === undefined ? ordered : [near, far];
-  return backups.slice(0, 2);
+  const first = ordered.find(id => peers.get(id) === dataCentre) ?? ordered[0];
+  if (first === undefined) {
+    return [];
+  }
+  const second =
+    ordered.find(id => peers.get(id) !== peers.get(first)) ??
+    ordered.find(id => id !== first);
+  return second === undefined ? [first] : [first, second];
 }
