Keep connections whose first request is on the way

Callers saw: "socket hang up" on a connection that had just been accepted, when the instance stopped listening before the request was written.

Node.js doesn't take it for idle either.

Evidence: 3 requests of "fails no request when instances shut down on SIGTERM (with ids: false)" beside 8 busy processes (load average 50) got "socket hang up"; that this was their cause was not shown.

Fix: a connection is idle only after its first response.

--- a/packages/daemon/src/http/http_app.test.ts
+++ b/packages/daemon/src/http/http_app.test.ts
@@ -133,6 +133,16 @@
     expect(received).toBeGreaterThan(LARGE_ANSWER_BYTES);
   });
 
+  it('does not close a connection whose first request is on the way', async () => {
+    const socket = openConnection();
+    const received = collect(socket);
+    await once(socket, 'connect');
+    await app.stopListening();
+    await app.closeIdleConnections();
+    socket.write(REQUEST);
+    await waitFor(() => received().includes('whole'));
+  });
+
   it('does not close a connection on which a part of a request has arrived', async () => {
     const socket = openConnection();
     const received = collect(socket);
--- a/packages/daemon/src/http/open_connections.ts
+++ b/packages/daemon/src/http/open_connections.ts
@@ -3,8 +3,10 @@
 interface ConnectionUse {
   /** Requests whose response has not been sent as a whole. */
   requests: number;
-  /** Bytes that were read when its last response had been sent. */
-  bytesRead: number;
+  /**
+   * Bytes that were read when its last response had been sent; undefined before.
+   */
+  bytesRead: number | undefined;
 }
 
 /**
@@ -31,7 +33,7 @@
 
   /** Adds a connection until it closes. */
   add(socket: Socket): void {
-    this.uses.set(socket, {requests: 0, bytesRead: 0});
+    this.uses.set(socket, {requests: 0, bytesRead: undefined});
     socket.once('close', () => this.uses.delete(socket));
   }
 
@@ -52,7 +54,10 @@
     }
   }
 
-  /** Closes each connection on which neither a request nor a part of one is. */
+  /**
+   * Closes each connection on which neither a request nor a part of one is. Its
+   * first request is on the way on a connection that had none.
+   */
   closeIdle(): void {
     for (const [socket, use] of this.uses) {
       if (use.requests === 0 && use.bytesRead === socket.bytesRead) {
