Name the jobs in flight to a backup whose link is new

Two runs of a task at the same time: an entry without new jobs lost all its links for 50 ms, was killed a second later, and its caller came back at once.

Cause: an entry that loses the link to a backup names its jobs in flight again, to those that are linked 1 ms later. If there were none, as when all its connections are reset, nobody was told of them until the next job was submitted; the hold due to the lost links ended before the runs.

When a link is new, the jobs in flight are named to the instance if it is a backup that doesn't know of them; 20 ms later, since it counts as alive with its first heartbeat. The notices keep to their rate, and there is none where nothing is in flight. No message has changed.

The group of entries can now lose links for a time.

--- a/packages/daemon/src/entry_instance/_test/entry_group.ts
+++ b/packages/daemon/src/entry_instance/_test/entry_group.ts
@@ -76,6 +76,9 @@
   /** Entries with a data centre whose schedulers they can't reach. */
   private readonly unreachable = new Set<string>();
 
+  /** Entries that have no links for now. */
+  private readonly unlinked = new Set<InstanceId>();
+
   private constructor(
     private readonly runMs: number,
     stateInstances: readonly InstanceId[],
@@ -147,6 +150,16 @@
     }
   }
 
+  /** Has an entry lose all its links for a time, in milliseconds. */
+  async loseLinks(id: InstanceId, forMs: number): Promise<void> {
+    this.unlinked.add(id);
+    this.replaceLinks(id);
+    await this.clock.sleep(forMs);
+    this.unlinked.delete(id);
+    this.relays.forEach(relay => relay.recordLink(id));
+    this.handleLinksUp(id);
+  }
+
   /**
    * Ends the process of an entry; the others receive what it has sent and lose
    * their links to it.
@@ -170,6 +183,7 @@
   start(id: InstanceId): void {
     this.addEntry(id);
     this.relays.forEach(relay => relay.recordLink(id));
+    this.handleLinksUp(id);
   }
 
   /** Ends the process of a state instance; the entries lose their links to it. */
@@ -200,6 +214,15 @@
     entry.interrupted.recordLoss(peer);
   }
 
+  private handleLinksUp(id: InstanceId): void {
+    const entry = this.entries.get(id)!;
+    this.relays.forEach((_, state) => entry.interrupted.recordLink(state));
+    for (const peer of this.liveEntries(id).keys()) {
+      entry.interrupted.recordLink(peer);
+      this.entries.get(peer)!.interrupted.recordLink(id);
+    }
+  }
+
   private addStateInstance(id: InstanceId): void {
     const relay = InterruptedJobRelay.create({
       clock: this.clock,
@@ -210,11 +233,20 @@
     this.relays.set(id, relay);
   }
 
+  /** State instances that an entry is linked to. */
+  private linkedRelays(self: InstanceId): InstanceId[] {
+    return this.unlinked.has(self) ? [] : [...this.relays.keys()];
+  }
+
   /** Entries that an instance is linked to. */
   private liveEntries(self: InstanceId): Map<InstanceId, DataCentreId> {
+    const isUnlinked = this.unlinked.has(self);
     return new Map(
       [...this.entries.values()]
-        .filter(({id, isKilled}) => id !== self && !isKilled)
+        .filter(
+          ({id, isKilled}) =>
+            id !== self && !isKilled && !isUnlinked && !this.unlinked.has(id),
+        )
         .map(({id}) => [id, dataCentreOf(id)]),
     );
   }
@@ -230,10 +262,10 @@
       log: this.log,
       network,
       entries: () => this.liveEntries(id),
-      stateInstances: () => [...this.relays.keys()],
+      stateInstances: () => this.linkedRelays(id),
       inFlightKeepers: () =>
         new Map(
-          [...this.relays.keys()].map(state => [
+          this.linkedRelays(id).map(state => [
             state,
             {
               dataCentre: dataCentreOf(state),
--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -199,7 +199,10 @@
       maxTargets: opts.maxTargets,
       shouldLink: (peer, state) =>
         this.linkPolicy.shouldLink(peer, state.schedulers),
-      onLinkUp: peer => this.cancellations.tellMissed(peer),
+      onLinkUp: peer => {
+        this.cancellations.tellMissed(peer);
+        this.interrupted.recordLink(peer);
+      },
       onLinkDown: peer => this.handleLinkDown(peer),
       onIncarnationChanged: () => this.applyGrants(store.state),
     });
@@ -430,12 +433,10 @@
   }
 
   private async fetchTargets(from: InstanceId, shard: ShardId): Promise<void> {
-    const {dataCentre} = this.opts.cfg;
-    const req = {dataCentre, shard};
+    const req = {dataCentre: this.opts.cfg.dataCentre, shard};
     const opts = {timeoutMs: LIST_TARGETS_TIMEOUT_MS};
-    const {network} = this.node;
     try {
-      const res = await network.call(from, 'listTargets', req, opts);
+      const res = await this.node.network.call(from, 'listTargets', req, opts);
       for (const report of res.reports) {
         this.schedulers.acceptReport(shard, report);
       }
--- a/packages/daemon/src/entry_instance/returning_callers.test.ts
+++ b/packages/daemon/src/entry_instance/returning_callers.test.ts
@@ -199,6 +199,20 @@
       },
     );
 
+    it('does not get its job run beside the runs of an entry killed after it had no link for a moment', async () => {
+      const group = createGroup(4_000);
+      await group.clock.advance(50);
+      group.submit(CENTRO_1);
+      await group.clock.advance(100);
+      void group.loseLinks(CENTRO_1, 50);
+      await group.clock.advance(1_000);
+      void group.kill(CENTRO_1);
+      await group.clock.advance(RETURN_MS);
+      group.submit(SERRA_1);
+      await group.clock.advance(1_500);
+      expect(group.concurrentRuns).toEqual([]);
+    });
+
     it('does not get its job run beside the runs of an entry killed long after its backups', async () => {
       const group = createGroup(4_000);
       await group.clock.advance(50);
--- a/packages/daemon/src/interrupted_jobs/in_flight_backups.test.ts
+++ b/packages/daemon/src/interrupted_jobs/in_flight_backups.test.ts
@@ -126,3 +126,25 @@
   expect(received).toBeGreaterThan(500);
   expect(received).toBeLessThanOrEqual(1_000 + entries.length);
 });
+
+it('names a job that goes on to a state instance that is heard again', async () => {
+  const clock = VirtualClock.create();
+  const told: string[] = [];
+  const network = {
+    notify: (to: InstanceId) => void told.push(to),
+    onNotice: () => undefined,
+  };
+  let keepers = keepersOf([]);
+  const entry = createEntry(clock, network, () => keepers);
+  entry.recordSubmission(jobOf(1));
+  await clock.advance(2_000);
+  expect(told).toHaveLength(2);
+  entry.recordLink('centro-s' as InstanceId);
+  await clock.advance(5);
+  keepers = keepersOf(['centro-s']);
+  await clock.advance(50);
+  expect(told.slice(2)).toEqual(['centro-s']);
+  entry.recordLink('centro-s' as InstanceId);
+  await clock.advance(50);
+  expect(told).toHaveLength(3);
+});
--- a/packages/daemon/src/interrupted_jobs/in_flight_notices.ts
+++ b/packages/daemon/src/interrupted_jobs/in_flight_notices.ts
@@ -8,6 +8,11 @@
  */
 const DELAY_MS = 1;
 const BURST = 10;
+/**
+ * Time after which an instance with a new link counts as alive, in milliseconds: some
+ * round trips, since each sends a heartbeat at once.
+ */
+const FIRST_HEARTBEAT_MS = 20;
 /** Most ends that are kept for the next notice; the oldest are dropped. */
 const MAX_ENDS = 1_024;
 
@@ -64,6 +69,18 @@
     }
   }
 
+  /**
+   * Names all submissions to an instance whose link is new, if it is a backup. The
+   * next submission, by which it would learn of them, may be long in coming.
+   */
+  async recordLink(instance: InstanceId): Promise<void> {
+    const {backups, clock, submissions} = this.opts;
+    await clock.sleep(FIRST_HEARTBEAT_MS);
+    if (!this.toldBackups.has(instance) && backups().includes(instance)) {
+      this.batcher.add(submissions());
+    }
+  }
+
   /** Names all submissions again, if an instance was a backup. */
   recordLoss(instance: InstanceId): void {
     if (this.toldBackups.has(instance)) {
@@ -75,7 +92,7 @@
   /** Names submissions to the backups, and all of them to a new backup. */
   private send(ids: readonly SubmissionId[]): void {
     const {inFlight, network, runsEndAfterMs, submissions} = this.opts;
-    const started = this.tell(inFlight(ids));
+    const started = this.tell(inFlight(new Set(ids)));
     if (started.length === 0) {
       return;
     }
--- a/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
@@ -236,6 +236,11 @@
     this.inFlightNotices.forEach(notices => notices.recordLoss(instance));
   }
 
+  /** Records that the link to an instance is new. */
+  recordLink(instance: InstanceId): void {
+    this.inFlightNotices.forEach(notices => void notices.recordLink(instance));
+  }
+
   private createInFlightNotices(
     backups: () => readonly InstanceId[],
     intervalMs: () => number,
