Hold jobs that were dropped also when the others have ended

Two runs of a task at the same time: a backup keeps 4,096 jobs of an entry. If these had ended when the entry was lost, it told nobody that runs may go on of those that it had dropped, the oldest, which are the longest.

Cause: the loss was told only if a job was kept.

It is now told as well if one that may be in flight was dropped. No message has changed; none is sent more often than for a lost entry with jobs in flight.

Tests: at an entry and at a state instance, 2 of 8 in dropped_interruptions.test.ts failed before.

--- a/packages/daemon/src/interrupted_jobs/dropped_interruptions.test.ts
+++ b/packages/daemon/src/interrupted_jobs/dropped_interruptions.test.ts
@@ -24,6 +24,8 @@
 /** More than an instance keeps of one entry, fewer than of two. */
 const MANY = 4_000;
 const TOO_MANY = 5_000;
+/** Most that an instance keeps of one entry. */
+const MAX_KEPT = 4_096;
 
 /** Entry and state instance, and entries that name jobs and are lost. */
 class Group {
@@ -64,12 +66,18 @@
     });
   }
 
-  /** Names jobs in flight of an entry to an instance. */
-  async name(from: InstanceId, to: InstanceId, count: number): Promise<void> {
+  /** Names jobs in flight of an entry to an instance, or their ends. */
+  async name(
+    from: InstanceId,
+    to: InstanceId,
+    count: number,
+    forMs = 8_000,
+    first = 0,
+  ): Promise<void> {
     const jobs = Array.from({length: count}, (_, n): InFlightJob => ({
-      jobId: idOf(from, n),
-      submissionId: `${from}/${n}` as SubmissionId,
-      forMs: 8_000,
+      jobId: idOf(from, first + n),
+      submissionId: `${from}/${first + n}` as SubmissionId,
+      forMs,
     }));
     const end: MemoryNetworkEnd = this.network.join(from);
     end.notify(to, 'jobsInFlight', {jobs, runsEndAfterMs: LEASE_MS});
@@ -129,6 +137,19 @@
   expect(group.unheld(LOST, TOO_MANY, late)).toEqual([]);
 });
 
+it.each([ENTRY, STATE])(
+  'holds the jobs that %s has dropped when all that it keeps have ended',
+  async to => {
+    const group = new Group();
+    await group.name(LOST, to, TOO_MANY);
+    await group.name(LOST, to, MAX_KEPT, 0, TOO_MANY - MAX_KEPT);
+    group.entry.recordLoss(LOST);
+    group.relay.recordLoss(LOST);
+    await group.clock.advance(5);
+    expect(group.unheld(LOST, TOO_MANY - MAX_KEPT)).toEqual([]);
+  },
+);
+
 it('says once that all jobs are held, and for how long', async () => {
   const group = new Group();
   await group.name(LOST, ENTRY, TOO_MANY);
--- a/packages/daemon/src/interrupted_jobs/interrupted_job_relay.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_job_relay.ts
@@ -94,7 +94,7 @@
     const jobs = this.inFlight
       .take(instance)
       .map(job => ({...job, forMs: Math.min(job.forMs, endAfterMs)}));
-    if (jobs.length > 0) {
+    if (jobs.length > 0 || othersForMs > 0) {
       this.opts.log.emit('jobsInterrupted', {
         peer: instance,
         jobs: jobs.length,
--- a/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
@@ -228,7 +228,7 @@
     const forMs = this.opts.runsEndAfterMs;
     const othersForMs = Math.min(this.inFlight.droppedForMs(instance), forMs);
     const jobs = this.inFlight.take(instance).map(job => ({...job, forMs}));
-    if (jobs.length > 0) {
+    if (jobs.length > 0 || othersForMs > 0) {
       const fields = {peer: instance, jobs: jobs.length};
       this.opts.log.emit('jobsInterrupted', fields);
       this.tellEntries(jobs, othersForMs);
