Tell the runs of an earlier process of an entry from those of this one

Two runs of a task at the same time: an entry and its scheduler were killed, the entry was started again, and its caller came back at it before the notice of the interrupted job did. The job waited for a target of another data centre, whose scheduler knew of the interruption, and started beside the earlier runs.

Cause: a scheduler takes the interrupted submissions of an instance that waits for the job as known to it, by the name of the instance, which a new process shares.

The name of a submission now has the number of its process between instance and count, instead of a count that starts at random, and only submissions of the same process count as known. This is looked up only for jobs with an interruption, not for each waiting job in each round of placement. A name without the number, of an older entry, is read as before.

--- a/packages/daemon/src/entry_instance/late_interruptions.test.ts
+++ b/packages/daemon/src/entry_instance/late_interruptions.test.ts
@@ -75,6 +75,22 @@
     expect(group.concurrentRuns).toEqual([]);
   });
 
+  it('does not get its job run beside runs of the process that its entry replaces', async () => {
+    const group = EntryGroup.create(1_000, STATE_INSTANCES);
+    await group.clock.advance(50);
+    group.submit(SERRA_1, undefined, OTHER);
+    await group.clock.advance(850);
+    group.submit(CENTRO_2);
+    await group.clock.advance(100);
+    [CENTRO_1, CENTRO_2].forEach(id => void group.kill(id));
+    await group.clock.advance(RETURN_MS);
+    group.start(CENTRO_2);
+    const again = group.submit(CENTRO_2);
+    await group.clock.advance(4_000);
+    expect(group.concurrentRuns).toEqual([]);
+    expect(again.outcome?.kind).toBe('completed');
+  });
+
   it('gets its job run when the runs of its caller that left have ended', async () => {
     const group = EntryGroup.create(900, STATE_INSTANCES);
     const caller = new AbortController();
--- a/packages/daemon/src/entry_instance/local_schedulers.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.ts
@@ -21,8 +21,8 @@
   RunTimeEstimator,
   Scheduler,
 } from '@papayarun/scheduling';
-import {instanceOfSubmission} from '../interrupted_jobs/instance_of_submission.js';
 import {mayRunOn} from '../interrupted_jobs/may_run_on.js';
+import {processOfSubmission} from '../interrupted_jobs/process_of_submission.js';
 import type {LocalSchedulersOptions} from './local_schedulers_options.js';
 import type {WithdrawalCause} from './withdrawal_cause.js';
 
@@ -281,21 +281,27 @@
 
   /**
    * Time for which runs of a job may go on that its scheduler here doesn't know of,
-   * in milliseconds. What is told of other submissions of an instance that waits
-   * for the job may be due to the loss of a link; it waits itself for what they
-   * have left.
+   * in milliseconds. What is told of other submissions of a process that waits for
+   * the job may be due to the loss of a link; it waits itself for what they have
+   * left, unlike a later process of its instance.
    */
   private otherRunsForMs(shard: ShardId, jobId: JobId): number {
-    const isWaiting = (instance: InstanceId): boolean =>
-      [...(this.submissions.get(shard)?.get(jobId) ?? [])].some(
-        ({requester}) => requester === instance,
-      );
     const isKnown = (submissionId: SubmissionId): boolean =>
-      isWaiting(instanceOfSubmission(submissionId)) ||
-      this.unended.has(`${shard} ${submissionId}`);
+      this.unended.has(`${shard} ${submissionId}`) ||
+      this.awaits(shard, jobId, processOfSubmission(submissionId));
     return this.opts.otherRunsForMs?.(jobId, isKnown) ?? 0;
   }
 
+  /** Whether a process waits for a job. */
+  private awaits(shard: ShardId, jobId: JobId, process: string): boolean {
+    const waiting = this.submissions.get(shard)?.get(jobId) ?? [];
+    return [...waiting].some(
+      ({submissionId}) =>
+        submissionId !== undefined &&
+        processOfSubmission(submissionId) === process,
+    );
+  }
+
   /** Instances that wait for jobs and send something while they do. */
   keptAliveRequesters(): Set<InstanceId> {
     const requesters = new Set<InstanceId>();
--- a/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
@@ -26,8 +26,8 @@
  * milliseconds.
  */
 const ANSWER_MARGIN_MS = 20;
-/** Range of the first submission number, by which restarts differ. */
-const MAX_FIRST_SUBMISSION = 2 ** 31;
+/** Range of the number of a process, by which restarts differ. */
+const MAX_PROCESS = 2 ** 31;
 
 /**
  * Jobs whose callers have lost their connection, or the instance that served
@@ -50,13 +50,14 @@
   /** To other entry instances, and to state instances. */
   private readonly inFlightNotices: readonly InFlightNotices[];
   private readonly interruptions: InterruptionSender;
-  private submissionCount: number;
+  private readonly process: number;
+  private submissionCount = 0;
 
   private constructor(private readonly opts: InterruptedJobsOptions) {
     const {clock, network, random} = opts;
     this.held = HeldJobs.create(clock);
     this.inFlight = InFlightTable.create(clock);
-    this.submissionCount = Math.floor(random.next() * MAX_FIRST_SUBMISSION);
+    this.process = Math.floor(random.next() * MAX_PROCESS);
     this.inFlightNotices = [
       this.createInFlightNotices(
         () => this.entryBackups(),
@@ -158,7 +159,11 @@
    */
   recordSubmission({id, leftMs}: ScheduledJob): SubmissionId {
     const {clock, runsEndAfterMs, self} = this.opts;
-    const submissionId = submissionIdOf(self, this.submissionCount++);
+    const submissionId = submissionIdOf(
+      self,
+      this.process,
+      this.submissionCount++,
+    );
     const untilMs = clock.now() + leftMs + runsEndAfterMs;
     this.own.set(submissionId, {
       jobId: id,
