Tell the end of runs whose caller left before their entry was lost

A job waited for up to 1.25 s at another entry although its runs had ended 20 ms after its caller had left: the entry that had cancelled it was killed in between.

Cause: a scheduler tells the end of a submission only if the loss of its requester cancels it. Those that the requester had cancelled itself, and which it told the others of, were no longer listed by then.

Cancelled submissions are now kept until their outcome, and the loss of their requester marks them as well. At most one notice more for each, as for others of a lost requester. No message has changed.

--- a/packages/daemon/src/entry_instance/local_schedulers.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.ts
@@ -68,6 +68,8 @@
     Map<JobId, Set<Submission>>
   >();
 
+  /** Submissions without an outcome that their requester has cancelled. */
+  private readonly withdrawn = new Set<Submission>();
   /** Shards and names of all submissions without an outcome. */
   private readonly unended = new Set<string>();
 
@@ -170,6 +172,7 @@
       return outcome;
     } finally {
       this.unended.delete(name);
+      this.withdrawn.delete(submission);
       submissions.delete(submission);
       if (submissions.size === 0 && byJob.get(job.id) === submissions) {
         byJob.delete(job.id);
@@ -222,7 +225,9 @@
         submissions.delete(submission);
         submission.isRequesterLost = cause !== 'notice';
         const {isRequesterLost, submissionId} = submission;
-        if (isRequesterLost && submissionId) {
+        if (!isRequesterLost) {
+          this.withdrawn.add(submission);
+        } else if (submissionId) {
           this.opts.onRequesterLost(jobId, submissionId);
         }
       }
@@ -341,6 +346,12 @@
     for (const jobId of jobIds) {
       this.cancel(requester, jobId, cause, heardMsAgo);
     }
+    // It can't tell any more that those have ended which it has cancelled before.
+    for (const submission of this.withdrawn) {
+      if (submission.requester === requester) {
+        submission.isRequesterLost = true;
+      }
+    }
   }
 
   /** Targets that the log assigns to a shard but that no session exists for. */
--- a/packages/daemon/src/entry_instance/returning_callers.test.ts
+++ b/packages/daemon/src/entry_instance/returning_callers.test.ts
@@ -110,6 +110,22 @@
       expect(again.outcome?.kind).toBe('completed');
     });
 
+    it('waits no longer than its runs go on when its entry was lost after it left', async () => {
+      const group = createGroup();
+      const caller = new AbortController();
+      await group.clock.advance(50);
+      group.submit(CENTRO_2, caller.signal);
+      await group.clock.advance(100);
+      caller.abort();
+      await group.clock.advance(5);
+      void group.kill(CENTRO_2);
+      await group.clock.advance(RETURN_MS);
+      group.submit(SERRA_1);
+      await group.clock.advance(50);
+      expect(group.startsOf(JOB)).toBe(4);
+      expect(group.concurrentRuns).toEqual([]);
+    });
+
     it('does not get its job run beside runs whose scheduler was lost after it left', async () => {
       const group = createGroup(900);
       const caller = new AbortController();
