Forget the jobs that have waited while all jobs were held

Cause: each wait kept a controller that the end of a submission of its job removes; these jobs have no such submission.

The controller is now kept only for a job with an interrupted submission, whose end or expiry removes it.

Test: 'keeps nothing of the jobs that have waited while all were held', red before (2 jobs awaited instead of 1).

--- a/packages/daemon/src/interrupted_jobs/held_jobs.test.ts
+++ b/packages/daemon/src/interrupted_jobs/held_jobs.test.ts
@@ -142,4 +142,20 @@
     await clock.advance(1_000);
     expect(wait.atMs).toBe(300);
   });
+
+  it('keeps nothing of the jobs that have waited while all were held', async () => {
+    const clock = VirtualClock.create();
+    const held = HeldJobs.create(clock);
+    held.record({jobId: JOB, submissionId: FIRST, forMs: 300});
+    held.recordOthers(1_000);
+    const wait = waitFor(clock, held);
+    const other = held.waitUntilEnded('other' as JobId, Infinity, NEVER);
+    await clock.advance(100);
+    expect(held.awaitedJobs).toBe(1);
+    held.record({jobId: JOB, submissionId: FIRST, forMs: 0});
+    await clock.advance(1_000);
+    await other;
+    expect(wait.atMs).toBe(1_000);
+    expect(held.awaitedJobs).toBe(0);
+  });
 });
--- a/packages/daemon/src/interrupted_jobs/held_jobs.ts
+++ b/packages/daemon/src/interrupted_jobs/held_jobs.ts
@@ -64,6 +64,11 @@
     return size;
   }
 
+  /** Number of jobs whose wait the end of a submission may shorten. */
+  get awaitedJobs(): number {
+    return this.ends.size;
+  }
+
   /** Time for which all jobs are held, in milliseconds; 0 if they aren't. */
   get allForMs(): number {
     return Math.max(0, this.allUntilMs - this.clock.now());
@@ -155,10 +160,20 @@
       if (leftMs <= 0) {
         return;
       }
-      const ended = this.ends.get(jobId) ?? new AbortController();
-      this.ends.set(jobId, ended);
-      await this.clock.sleep(leftMs, AbortSignal.any([ended.signal, signal]));
+      const ended = this.endOf(jobId);
+      const signals = ended ? [ended, signal] : [signal];
+      await this.clock.sleep(leftMs, AbortSignal.any(signals));
+    }
+  }
+
+  /** Aborts when a submission of a job has ended, if one is known. */
+  private endOf(jobId: JobId): AbortSignal | undefined {
+    if (!this.byJob.has(jobId)) {
+      return undefined;
     }
+    const ended = this.ends.get(jobId) ?? new AbortController();
+    this.ends.set(jobId, ended);
+    return ended.signal;
   }
 
   /** Time for which runs of a job may go on, in milliseconds; 0 for none. */
