Excuse only refusals of claims in the tests of shutdown

The trace of the refusals beside processes that stood still has claimUnavailable alone, and ownerLost and generationClosed when such ids are sent again. Others fail the tests again.

--- a/packages/daemon/src/instance/leaving_and_shutdown.test.ts
+++ b/packages/daemon/src/instance/leaving_and_shutdown.test.ts
@@ -13,6 +13,9 @@
 const MAX_LEAVING_MS = 3_000;
 const INSTANCE_IDS = ['centro-1', 'centro-2', 'centro-3', 'serra-1', 'serra-2'];
 
+/** Refusals of ids whose claim a process that stood still would have to confirm. */
+const CLAIM_REFUSAL = /claimUnavailable|ownerLost|generationClosed/;
+
 /** Request that an instance refused. */
 interface RefusedRequest {
   readonly id: string | undefined;
@@ -212,14 +215,16 @@
   });
 
   /**
-   * Expects that no request was cut off, that none was refused unless a process
-   * stood still, and that each id ran as often as its answer or verdict says.
+   * Expects that no request was cut off, that none was refused but for a claim that
+   * can't be recorded while a process stands still, and that each id ran as often
+   * as its answer or verdict says.
    */
   function expectNothingLost(load: LoadGenerator): void {
     expect(load.failures.slice(0, 4)).toEqual([]);
-    if (!load.sawSilence()) {
-      expect(load.refused.slice(0, 4)).toEqual([]);
-    }
+    const excused = load.sawSilence() ? CLAIM_REFUSAL : /^$/;
+    expect(
+      load.refused.filter(({refusal}) => !excused.test(refusal)).slice(0, 4),
+    ).toEqual([]);
     const startsOf = (id: string): number =>
       targets.reduce((sum, target) => sum + (target.starts.get(id) ?? 0), 0);
     expect(load.answeredIds.filter(id => startsOf(id) !== 1)).toEqual([]);
