Forget the submissions whose runs were left

The memory of an entry grew with each job that it answered while runs might go on, as at a deadline or when a scheduler was lost.

Cause: the names that were told to the backups are kept until their end is told, and there is none for these: the backups keep them until the runs have ended.

They are now forgotten with the submission. No notice has changed.

Test: 'forgets the submissions whose runs it has left', red before (2 kept).

--- a/packages/daemon/src/interrupted_jobs/in_flight_backups.test.ts
+++ b/packages/daemon/src/interrupted_jobs/in_flight_backups.test.ts
@@ -148,3 +148,17 @@
   await clock.advance(50);
   expect(told).toHaveLength(3);
 });
+
+it('forgets the submissions whose runs it has left', async () => {
+  const clock = VirtualClock.create();
+  const network = {notify: () => undefined, onNotice: () => undefined};
+  const keepers = keepersOf(['centro-s']);
+  const entry = createEntry(clock, network, () => keepers);
+  const job = jobOf(1);
+  const submissionId = entry.recordSubmission(job);
+  await clock.advance(10);
+  expect(entry.namedSubmissions).toBe(2);
+  entry.recordLeftRuns(job.id, submissionId);
+  await clock.advance(10);
+  expect(entry.namedSubmissions).toBe(0);
+});
--- a/packages/daemon/src/interrupted_jobs/in_flight_notices.ts
+++ b/packages/daemon/src/interrupted_jobs/in_flight_notices.ts
@@ -61,6 +61,16 @@
     this.batcher.flush();
   }
 
+  /** Number of submissions that a backup may know of. */
+  get size(): number {
+    return this.told.size;
+  }
+
+  /** Forgets a submission that has ended, and whose runs go on for a while. */
+  recordLeftRuns(submissionId: SubmissionId): void {
+    this.told.delete(submissionId);
+  }
+
   /** Names the end of a submission in the next notice. */
   recordEnd(jobId: InFlightJob['jobId'], submissionId: SubmissionId): void {
     if (this.told.delete(submissionId)) {
--- a/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
@@ -109,6 +109,11 @@
     return this.held.allForMs;
   }
 
+  /** Number of submissions whose end is told to the backups, for each of these. */
+  get namedSubmissions(): number {
+    return this.inFlightNotices.reduce((sum, {size}) => sum + size, 0);
+  }
+
   /** Whether runs of an interrupted submission of a job may go on. */
   mayRun(jobId: JobId): boolean {
     return this.held.has(jobId);
@@ -205,6 +210,9 @@
   recordLeftRuns(jobId: JobId, submissionId: SubmissionId): void {
     this.recordInterruption(jobId, submissionId);
     this.own.delete(submissionId);
+    this.inFlightNotices.forEach(notices =>
+      notices.recordLeftRuns(submissionId),
+    );
   }
 
   /**
