Tell the end of jobs that a lost link counted as interrupted

A job that was sent again waited for up to 1.25 s at other entries although its earlier submission had ended: its entry had lost the link to a backup, and not more.

Cause: the backup tells that the jobs of the entry are interrupted; the entry told the end of those only that it had interrupted itself.

An entry that hears of the interruption of a submission of its own now tells its end as well, in the same notices with the same rate. No message has changed.

--- a/packages/daemon/src/interrupted_jobs/interrupted_jobs.test.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_jobs.test.ts
@@ -121,6 +121,20 @@
     }
   });
 
+  it('lets a job go everywhere when it has ended after its entry lost only a link', async () => {
+    const row = new EntryRow(5);
+    const submissionId = row.entries[0]!.recordSubmission(jobOf(1));
+    await row.clock.advance(20);
+    row.entries[1]!.recordLoss('e-0' as InstanceId);
+    await row.clock.advance(10);
+    expect(row.entries[4]!.mayRun(jobOf(1).id)).toBe(true);
+    row.entries[0]!.recordEnd(jobOf(1).id, submissionId);
+    await row.clock.advance(10);
+    for (const entry of row.entries) {
+      expect(entry.mayRun(jobOf(1).id)).toBe(false);
+    }
+  });
+
   it('sends a bounded number of notices, however many callers leave', async () => {
     const row = new EntryRow(3);
     for (let n = 0; n < 5_000; n++) {
--- a/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
@@ -329,6 +329,11 @@
     const areAllHeld = this.held.allForMs > 0;
     for (const job of jobs) {
       this.held.record({...job, forMs: Math.min(job.forMs, maxMs)});
+      const own = this.own.get(job.submissionId);
+      if (own) {
+        // Only a link was lost; the others learn of its end from this instance.
+        own.isInterrupted = true;
+      }
     }
     this.held.recordOthers(Math.min(othersForMs, maxMs));
     const {allForMs} = this.held;
