--- a/packages/daemon/src/entry_instance/late_interruptions.test.ts
+++ b/packages/daemon/src/entry_instance/late_interruptions.test.ts
@@ -140,4 +140,21 @@
       expect(group.startsOf(JOB)).toBe(2);
     },
   );
+
+  // KNOWN-RED.txt: the hold ends before the run, which nobody stops.
+  it('does not get its job run beside a run that another caller of it keeps', async () => {
+    const group = EntryGroup.create(4_000, STATE_INSTANCES);
+    const caller = new AbortController();
+    await group.clock.advance(50);
+    group.submit(CENTRO_2, caller.signal);
+    await group.clock.advance(50);
+    group.submit(CENTRO_2);
+    await group.clock.advance(50);
+    caller.abort();
+    await group.clock.advance(RETURN_MS);
+    group.hide(CENTRO, SERRA_2);
+    group.submit(SERRA_2);
+    await group.clock.advance(2_000);
+    expect(group.concurrentRuns).toEqual([]);
+  });
 });
--- a/packages/daemon/src/interrupted_jobs/dropped_interruptions.test.ts
+++ b/packages/daemon/src/interrupted_jobs/dropped_interruptions.test.ts
@@ -169,3 +169,14 @@
   expect(group.unheld(LOST, MANY)).toEqual([]);
   expect(group.entry.mayRun(idOf(OTHER_LOST, 0))).toBe(false);
 });
+
+// KNOWN-RED.txt
+it('starts no waiting task of a job that may be one of the dropped ones', async () => {
+  const group = new Group();
+  await group.name(LOST, ENTRY, TOO_MANY);
+  group.entry.recordLoss(LOST);
+  await group.clock.advance(5);
+  const waiting = idOf(LOST, 0);
+  expect(group.entry.mayRun(waiting)).toBe(true);
+  expect(group.entry.otherRunsForMs(waiting, () => false)).toBeGreaterThan(0);
+});
