--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -175,7 +175,8 @@
    *
    * @description The instance listens until no caller has sent a request for
    * `timing.drainDelayMs`, for at most half of `timing.drainTimeoutMs` longer than
-   * that. Work that is still in progress after the sum of both is aborted. Further calls return the promise of the first one.
+   * that. Work that is still in progress after the sum of both is aborted. Further
+   * calls return the promise of the first one.
    * @returns A promise that resolves when all components are closed.
    * @example
    * await instance.drain();
