--- a/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
@@ -50,6 +50,7 @@
   /** To other entry instances, and to state instances. */
   private readonly inFlightNotices: readonly InFlightNotices[];
   private readonly interruptions: InterruptionSender;
+  /** Number of this process, by which its submissions differ from earlier ones. */
   private readonly process: number;
   private submissionCount = 0;
 
@@ -279,7 +280,7 @@
     return selectBackups(self, dataCentre, dataCentresOf(inFlightKeepers()));
   }
 
-  /** Shortest interval that all of them take, in milliseconds. */
+  /** Shortest interval that all of those take, in milliseconds. */
   private keeperIntervalMs(): number {
     const keepers = this.opts.inFlightKeepers();
     return Math.max(
--- a/packages/daemon/src/state_instance/state_instance.ts
+++ b/packages/daemon/src/state_instance/state_instance.ts
@@ -238,7 +238,10 @@
     });
   }
 
-  /** Tells an instance of interrupted jobs, which no state instance needs. */
+  /**
+   * Tells an instance of cancelled jobs and, unless it is a state instance, of
+   * interrupted ones.
+   */
   private handleLinkUp(peer: InstanceId): void {
     if (this.node.membership.peer(peer)?.heartbeat.role !== 'state') {
       this.interruptedJobs.recordLink(peer);
