--- a/packages/daemon/src/entry_instance/job_submitter.test.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.test.ts
@@ -80,6 +80,7 @@
 /** Submitter in one data centre, with schedulers in it and in another one. */
 class Fixture {
   readonly clock = VirtualClock.create();
+  readonly log = SilentLog.create();
   readonly localJobs: ScheduledJob[] = [];
   readonly remoteJobs: ScheduledJob[] = [];
   readonly cancelled: JobId[] = [];
@@ -137,7 +138,7 @@
     finder: this.finder(),
     network: this.network(),
     clock: this.clock,
-    log: SilentLog.create(),
+    log: this.log,
     keepAliveMs: 300,
     loopLagMs: () => this.loopLagMs,
     longestLeaseMs: LEASE_MS,
@@ -607,6 +608,17 @@
     });
   });
 
+  it('logs how long after the request was read its caller left, and which scheduler had the job', async () => {
+    const fixture = new Fixture();
+    fixture.scheduleLocally = () => new Promise(() => undefined);
+    const caller = new AbortController();
+    fixture.submitAndRecord(jobOf(2), caller.signal);
+    await fixture.clock.advance(250);
+    caller.abort();
+    const left = fixture.log.events.find(({name}) => name === 'callerLeft');
+    expect(left?.fields).toMatchObject({afterMs: 250, schedulers: [SELF]});
+  });
+
   it('waits for a scheduler that takes over until the deadline at most', async () => {
     const fixture = new Fixture();
     fixture.isTakingOver = true;
--- a/packages/daemon/src/entry_instance/job_submitter.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.ts
@@ -139,7 +139,7 @@
         return {kind: 'failed', reason: 'deadline'};
       }
     }
-    const logLeave = (): void => this.logLeave(job.id);
+    const logLeave = (): void => this.logLeave(job.id, arrivedMs);
     signal.addEventListener('abort', logLeave, {once: true});
     const currentJob = this.withElapsedTime(job, arrivedMs);
     const outcome = await this.submitToSchedulers(currentJob, signal);
@@ -155,9 +155,10 @@
       : outcome;
   }
 
-  private logLeave(jobId: JobId): void {
+  private logLeave(jobId: JobId, arrivedMs: number): void {
     this.opts.log.emit('callerLeft', {
       jobId,
+      afterMs: Math.round(this.opts.clock.now() - arrivedMs),
       schedulers: this.submissions.schedulersOf(jobId),
     });
   }
--- a/packages/daemon/src/entry_instance/local_schedulers.test.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.test.ts
@@ -44,6 +44,7 @@
 /** Schedulers of one shard, without targets. */
 class Fixture {
   readonly clock = VirtualClock.create();
+  readonly log = SilentLog.create();
   private readonly schedulers = LocalSchedulers.create(this.options());
 
   constructor() {
@@ -74,7 +75,7 @@
       timing: {maxLeaseMs: 1_000, stopMs: 50, reportMs: 0},
       store: store as unknown as LocalSchedulersOptions['store'],
       clock: this.clock,
-      log: SilentLog.create(),
+      log: this.log,
       metrics: {
         recordJob: ignore,
         recordForecastError: ignore,
@@ -130,6 +131,17 @@
     expect(answer.outcome).toMatchObject({reason: 'cancelled'});
   });
 
+  it('logs how long an entry had waited for a job that it cancels', async () => {
+    const fixture = new Fixture();
+    fixture.submit(ENTRY, JOB);
+    await fixture.clock.advance(30);
+    fixture.local.cancel(ENTRY, JOB.id, 'notice');
+    const withdrawn = fixture.log.events.find(
+      ({name}) => name === 'submissionWithdrawn',
+    );
+    expect(withdrawn?.fields).toMatchObject({afterMs: 30, cause: 'notice'});
+  });
+
   it('keeps a job that another entry waits for until that one cancels it too', async () => {
     const fixture = new Fixture();
     const answer = fixture.submit(ENTRY, JOB);
--- a/packages/daemon/src/entry_instance/local_schedulers.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.ts
@@ -237,6 +237,7 @@
           requester,
           shard,
           cause,
+          afterMs: this.ageMs(cancelled),
           heardMsAgo: heardMsAgo && Math.round(heardMsAgo),
           others: submissions.size,
         });
@@ -461,6 +462,12 @@
     return scheduler;
   }
 
+  /** Time since the first of some submissions, in whole milliseconds. */
+  private ageMs(submissions: readonly Submission[]): number {
+    const firstMs = Math.min(...submissions.map(({atMs}) => atMs));
+    return Math.round(this.opts.clock.now() - firstMs);
+  }
+
   private submissionsOf(shard: ShardId): Map<JobId, Set<Submission>> {
     let byJob = this.submissions.get(shard);
     if (!byJob) {
--- a/packages/protocol/src/event_log/event_catalogue.ts
+++ b/packages/protocol/src/event_log/event_catalogue.ts
@@ -403,12 +403,12 @@
   submissionWithdrawn: {
     number: 7012,
     level: 'info',
-    text: 'instance no longer waits for a job here; the event has the cause, and when it was last heard',
+    text: 'instance no longer waits for a job here; the event has the cause, how long it had waited, and when it was last heard',
   },
   callerLeft: {
     number: 7013,
     level: 'info',
-    text: 'caller of a job left before its answer; the event has the schedulers that have the job',
+    text: 'caller of a job left before its answer; the event has the time since its request was read, and the schedulers that have the job',
   },
   jobHeld: {
     number: 7014,
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -95,6 +95,12 @@
       'linkDown',
       'unexpected',
       'paused',
+      'loopLate',
+      'callerLeft',
+      'submissionWithdrawn',
+      'jobScheduled',
+      'jobRefused',
+      'requesterSilent',
     ]);
     return this.launch(
       cfg.instance,
