Read what has arrived before each submission of a job

Cause: Node.js gives a request to its handler before it has read the end of the connection, which lies behind it. The submitter waited for it, for 20 ms, only if the event loop had just run late. But a loop accepts one connection in a turn, so an entry with a backlog reads old requests long after its loop is in time again, or without ever having been late. The 20 ms read nothing either if the timer was due before the next reading, and the abort came some turns after the end of the connection had been read.

Change: each submission waits until what has arrived on open connections has been read, whatever the loop's lag; and the end of a connection aborts its requests when it is read. No clock is involved. Idle, this costs two turns of the loop in place of none, and no 20 ms after a pause.

Replaced tests of job_submitter.test.ts: the ones with a lag of 3,000 and 100 ms gave the submitter the lag that it no longer asks for. The new ones hold without any lag, for each submission, and demand that nothing is submitted before the reading. The job of a caller that stayed is in the third one.

--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -19,6 +19,7 @@
 import {JobCancellations} from '../cancelled_jobs/job_cancellations.js';
 import {ClusterNode} from '../cluster_node/cluster_node.js';
 import {InterruptedJobs} from '../interrupted_jobs/interrupted_jobs.js';
+import {afterNextReading} from '../loop_lag/after_next_reading.js';
 import {afterReading} from '../loop_lag/after_reading.js';
 import {inFlightKeepersOf} from '../members/in_flight_keepers_of.js';
 import {livePeersOf} from '../members/live_peers_of.js';
@@ -342,7 +343,7 @@
       clock,
       log,
       keepAliveMs: this.opts.cfg.heartbeatMs,
-      loopLagMs: () => this.node.loopLag.lagMs,
+      afterNextReading,
       longestLeaseMs: longestLeaseMs(this.opts.timing),
       schedule: (shard, job, submissionId) =>
         this.schedulers.submit(self, shard, job, false, submissionId),
--- a/packages/daemon/src/entry_instance/job_submitter.test.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.test.ts
@@ -89,8 +89,8 @@
   /** Times at which the cancel of a job was sent to the other instance. */
   readonly cancelNoticesMs: number[] = [];
   quoteRequests = 0;
-  /** Lag of the event loop, in milliseconds. */
-  loopLagMs = 0;
+  /** Reads what has arrived on the connections. */
+  read: () => Promise<void> = () => Promise.resolve();
   /** Instance that schedules the shard of this data centre. */
   localInstance = SELF;
   /** Grant of the scheduler that takes over the shard of this data centre. */
@@ -140,7 +140,7 @@
     clock: this.clock,
     log: this.log,
     keepAliveMs: 300,
-    loopLagMs: () => this.loopLagMs,
+    afterNextReading: () => this.read(),
     longestLeaseMs: LEASE_MS,
     interrupted: this.interruptedJobs(),
     quote: () => quoteOf(),
@@ -582,24 +582,13 @@
     expect(fixture.cancelNoticesMs).toEqual([2_400]);
   });
 
-  // The request had waited unread while the process was frozen, with the end of
-  // its connection behind it; its caller had sent it again elsewhere.
-  it.each([
-    [
-      'submits nothing for a caller that left while this process was paused',
-      3_000,
-    ],
-    [
-      'submits nothing for a caller that left in a short pause of this process',
-      100,
-    ],
-  ])('%s', async (_name, lagMs) => {
+  // The request had waited unread, with the end of its connection behind it; its
+  // caller had sent it again elsewhere.
+  it('submits nothing for a caller whose leave is read after its request', async () => {
     const fixture = new Fixture();
-    fixture.loopLagMs = lagMs;
     const caller = new AbortController();
+    fixture.read = async () => caller.abort();
     const answer = fixture.submitAndRecord(jobOf(2), caller.signal);
-    await fixture.clock.advance(5);
-    caller.abort();
     await fixture.clock.advance(100);
     expect(fixture.localJobs).toEqual([]);
     expect(answer.outcome).toMatchObject({
@@ -608,6 +597,34 @@
     });
   });
 
+  it('submits no part for a caller whose leave is read after the quotes', async () => {
+    const fixture = new Fixture();
+    fixture.splitInTwo();
+    const caller = new AbortController();
+    let readings = 0;
+    fixture.read = async () => {
+      if (++readings > 1) {
+        caller.abort();
+      }
+    };
+    fixture.submitAndRecord(jobOf(2), caller.signal);
+    await fixture.clock.advance(100);
+    expect(fixture.localJobs.filter(job => job.isPromised)).toEqual([]);
+    expect(fixture.remoteJobs).toEqual([]);
+  });
+
+  it('submits no job before what has arrived is read, and then that of a caller that stayed', async () => {
+    const fixture = new Fixture();
+    let endReading = (): void => undefined;
+    fixture.read = () => new Promise(resolve => (endReading = resolve));
+    const answer = fixture.submitAndRecord(jobOf(2));
+    await fixture.clock.advance(100);
+    expect(fixture.localJobs).toEqual([]);
+    endReading();
+    await fixture.clock.advance(0);
+    expect(answer.outcome).toEqual(COMPLETED);
+  });
+
   it('logs how long after the request was read its caller left, and which scheduler had the job', async () => {
     const fixture = new Fixture();
     fixture.scheduleLocally = () => new Promise(() => undefined);
@@ -629,14 +646,6 @@
     await fixture.clock.advance(120);
     expect(answer.outcome).toMatchObject({reason: 'notScheduler'});
   });
-
-  it('submits the job of a caller that stayed while this process was paused', async () => {
-    const fixture = new Fixture();
-    fixture.loopLagMs = 3_000;
-    const answer = fixture.submitAndRecord(jobOf(2));
-    await fixture.clock.advance(100);
-    expect(answer.outcome).toEqual(COMPLETED);
-  });
 });
 
 describe('A job that is handed over', () => {
--- a/packages/daemon/src/entry_instance/job_submitter.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.ts
@@ -57,17 +57,6 @@
  * any; under overload all do, and each quote adds to the load.
  */
 const QUOTES_PER_JOB = 2;
-/**
- * Pause of this process in which a caller may have left and sent its job again
- * elsewhere, in milliseconds; longer than the event loop is late under the usual
- * load.
- */
-const MAX_PAUSE_MS = 50;
-/**
- * Time in which a process that was paused reads what has arrived meanwhile, in
- * milliseconds: some turns of its event loop.
- */
-const CATCH_UP_MS = 20;
 /** Retry delay sent to callers if no scheduler is reachable, in milliseconds. */
 const NO_SCHEDULER_RETRY_MS = 1_000;
 
@@ -256,11 +245,9 @@
     job: ScheduledJob,
     signal: AbortSignal,
   ): Promise<JobOutcome> {
-    if (this.opts.loopLagMs() > MAX_PAUSE_MS) {
-      // The request may have waited unread with the end of its connection behind
-      // it, and its caller may have sent it again elsewhere.
-      await this.opts.clock.sleep(CATCH_UP_MS, signal);
-    }
+    // The request may have waited unread with the end of its connection behind
+    // it, and its caller may have sent it again elsewhere.
+    await this.opts.afterNextReading();
     if (signal.aborted) {
       return CANCELLED_REFUSAL;
     }
--- a/packages/daemon/src/entry_instance/job_submitter_options.ts
+++ b/packages/daemon/src/entry_instance/job_submitter_options.ts
@@ -31,8 +31,8 @@
   readonly keepAliveMs: number;
   /** Longest time for which runs of a lost scheduler go on, in milliseconds. */
   readonly longestLeaseMs: number;
-  /** Time by which the event loop has run late just now, in milliseconds. */
-  readonly loopLagMs: () => number;
+  /** Resolves when what has arrived on open connections has been read. */
+  readonly afterNextReading: () => Promise<void>;
   readonly interrupted: InterruptedJobs;
   /** Runs a job on a shard that this instance schedules. */
   readonly schedule: (
--- a/packages/daemon/src/http/http_app.ts
+++ b/packages/daemon/src/http/http_app.ts
@@ -166,15 +166,16 @@
     const {socket} = raw;
     this.activeRequests++;
     this.arrivals++;
-    this.connections.requestStarted(socket);
     const disconnection = new AbortController();
-    res.on('close', () => {
+    const abort = (): void => {
       if (!res.writableFinished) {
         disconnection.abort(
           DispatchError.notRun('cancelled', 'the caller closed the connection'),
         );
       }
-    });
+    };
+    this.connections.requestStarted(socket, abort);
+    res.on('close', abort);
     try {
       this.send(res, await this.routeRequest(raw, disconnection.signal));
     } catch (err) {
@@ -185,7 +186,7 @@
       this.send(res, refusalResponse(refusal));
     } finally {
       await closed(res);
-      this.connections.requestEnded(socket);
+      this.connections.requestEnded(socket, abort);
       this.activeRequests--;
     }
   }
--- /dev/null
+++ b/packages/daemon/src/http/left_callers.test.ts
@@ -0,0 +1,74 @@
+import {spawnSync} from 'node:child_process';
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import {SilentLog} from '@papayarun/test_kit';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {afterNextReading} from '../loop_lag/after_next_reading.js';
+import {HttpApp} from './http_app.js';
+
+const CALLERS = 40;
+/** Sends requests, each on a connection that it closes at once. */
+const LEAVING_CALLERS = `
+  const {connect} = require('node:net');
+  const [port, count] = process.argv.slice(1).map(Number);
+  for (let i = 0; i < count; i++) {
+    const socket = connect(port, '127.0.0.1', () =>
+      socket.write('GET / HTTP/1.1\\r\\nhost: a\\r\\n\\r\\n', () =>
+        socket.destroy()));
+  }
+`;
+
+describe('HttpApp', () => {
+  let app: HttpApp;
+  /** Whether each request was aborted after the next reading. */
+  let aborted: boolean[];
+
+  beforeEach(async () => {
+    aborted = [];
+    app = await HttpApp.create(
+      {
+        routes: [
+          {
+            method: 'GET',
+            path: '/',
+            handle: async ({signal}) => {
+              await afterNextReading();
+              aborted.push(signal.aborted);
+              return {status: 200, body: Buffer.from('whole')};
+            },
+          },
+        ],
+        log: SilentLog.create(),
+        maxBodyBytes: 1_024,
+        maxConnections: 100,
+        commonHeaders: () => ({}),
+      },
+      {host: '127.0.0.1', port: 0},
+    );
+  });
+
+  afterEach(() => app.closeAll());
+
+  it('knows of each caller that left unread when the end of its connection has been read', async () => {
+    // Blocks this process until all of them have left.
+    const {status} = spawnSync(process.execPath, [
+      '--eval',
+      LEAVING_CALLERS,
+      String(app.port),
+      String(CALLERS),
+    ]);
+    expect(status).toBe(0);
+    await app.readArrived();
+    await afterNextReading();
+    expect(aborted).toEqual(Array.from({length: CALLERS}, () => true));
+  });
+
+  it('does not abort the request of a caller that waits for its answer', async () => {
+    const socket = connect(app.port, '127.0.0.1');
+    socket.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
+    const [answer] = (await once(socket, 'data')) as [Buffer];
+    socket.destroy();
+    expect(answer.toString()).toContain('whole');
+    expect(aborted).toEqual([false]);
+  });
+});
--- a/packages/daemon/src/http/open_connections.ts
+++ b/packages/daemon/src/http/open_connections.ts
@@ -1,8 +1,8 @@
 import type {Socket} from 'node:net';
 
 interface ConnectionUse {
-  /** Requests whose response has not been sent as a whole. */
-  requests: number;
+  /** Aborts each request whose response has not been sent as a whole. */
+  readonly aborts: Set<() => void>;
   /**
    * Bytes that were read when its last response had been sent; undefined before.
    */
@@ -31,25 +31,33 @@
     return new OpenConnections();
   }
 
-  /** Adds a connection until it closes. */
+  /**
+   * Adds a connection until it closes. Its requests are aborted as soon as its end
+   * has been read; their responses close some turns of the event loop later.
+   */
   add(socket: Socket): void {
-    this.uses.set(socket, {requests: 0, bytesRead: undefined});
+    const aborts = new Set<() => void>();
+    this.uses.set(socket, {aborts, bytesRead: undefined});
+    socket.once('end', () => aborts.forEach(abort => abort()));
     socket.once('close', () => this.uses.delete(socket));
   }
 
-  /** Counts a request on a connection. */
-  requestStarted(socket: Socket): void {
-    const use = this.uses.get(socket);
-    if (use) {
-      use.requests++;
-    }
+  /**
+   * Adds a request.
+   *
+   * @param socket - Its connection.
+   * @param abort - Called if the caller ends the connection before the response
+   *   has been sent as a whole.
+   */
+  requestStarted(socket: Socket, abort: () => void): void {
+    this.uses.get(socket)?.aborts.add(abort);
   }
 
-  /** Ends the count of a request whose response has been sent as a whole. */
-  requestEnded(socket: Socket): void {
+  /** Removes a request whose response has been sent as a whole. */
+  requestEnded(socket: Socket, abort: () => void): void {
     const use = this.uses.get(socket);
     if (use) {
-      use.requests--;
+      use.aborts.delete(abort);
       use.bytesRead = socket.bytesRead;
     }
   }
@@ -60,7 +68,7 @@
    */
   closeIdle(): void {
     for (const [socket, use] of this.uses) {
-      if (use.requests === 0 && use.bytesRead === socket.bytesRead) {
+      if (use.aborts.size === 0 && use.bytesRead === socket.bytesRead) {
         socket.destroy();
       }
     }
