Run no repeatable work of callers who left before their request was read

What callers saw: after a pause an instance started work for callers who had gone, beside the work of those who wait, and sent it again to targets when they came back. No promise breaks: such work may be repeated, and work with an id is claimed once, and run for its return.

Change: repeatable work is routed once what has arrived has been read. Cost: two turns of the loop.

--- a/packages/daemon/src/caller_api/caller_routes.ts
+++ b/packages/daemon/src/caller_api/caller_routes.ts
@@ -20,6 +20,7 @@
 import type {HttpRoute} from '../http/http_route.js';
 import {parseJson} from '../http/parse_json.js';
 import {refusalResponse} from '../http/refusal_response.js';
+import {afterNextReading} from '../loop_lag/after_next_reading.js';
 import {announcementSchema} from './announcement_schema.js';
 import type {CallerApiOptions} from './caller_api_options.js';
 import {jobSpecSchema} from './job_spec_schema.js';
@@ -121,11 +122,25 @@
   const work = parseWork(opts, req);
   assertReady(opts, !work.repeatable);
   const outcome = work.repeatable
-    ? await opts.runRepeatable(work, req.signal)
+    ? await runRepeatable(opts, work, req.signal)
     : await opts.runIdempotent(work, req.signal);
   return outcomeResponse(outcome);
 }
 
+/**
+ * Runs repeatable work unless its caller has left, whose connection may have ended
+ * before its request was read. Work with an id is run for its return.
+ */
+async function runRepeatable(
+  opts: CallerApiOptions,
+  work: Work,
+  signal: AbortSignal,
+): Promise<Outcome> {
+  await afterNextReading();
+  signal.throwIfAborted();
+  return opts.runRepeatable(work, signal);
+}
+
 function parseWork(opts: CallerApiOptions, req: HttpRequest): Work {
   const workHeaders = parseWorkHeaders(req.raw.headers, opts.defaultDeadlineMs);
   const service = req.params['service']!;
--- a/packages/daemon/src/http/left_callers.test.ts
+++ b/packages/daemon/src/http/left_callers.test.ts
@@ -1,23 +1,11 @@
-import {spawnSync} from 'node:child_process';
 import {once} from 'node:events';
 import {connect} from 'node:net';
-import {SilentLog} from '@papayarun/test_kit';
+import {sendAndLeave, SilentLog} from '@papayarun/test_kit';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import {afterNextReading} from '../loop_lag/after_next_reading.js';
 import {HttpApp} from './http_app.js';
 
 const CALLERS = 40;
-/** Sends requests, each on a connection that it closes at once. */
-const LEAVING_CALLERS = `
-  const {connect} = require('node:net');
-  const [port, count] = process.argv.slice(1).map(Number);
-  for (let i = 0; i < count; i++) {
-    const socket = connect(port, '127.0.0.1', () =>
-      socket.write('GET / HTTP/1.1\\r\\nhost: a\\r\\n\\r\\n', () =>
-        socket.destroy()));
-  }
-`;
-
 describe('HttpApp', () => {
   let app: HttpApp;
   /** Whether each request was aborted after the next reading. */
@@ -50,14 +38,11 @@
   afterEach(() => app.closeAll());
 
   it('knows of each caller that left unread when the end of its connection has been read', async () => {
-    // Blocks this process until all of them have left.
-    const {status} = spawnSync(process.execPath, [
-      '--eval',
-      LEAVING_CALLERS,
-      String(app.port),
-      String(CALLERS),
-    ]);
-    expect(status).toBe(0);
+    const requests = Array.from({length: CALLERS}, () => ({
+      method: 'GET',
+      path: '/',
+    }));
+    sendAndLeave(`127.0.0.1:${app.port}`, requests);
     await app.readArrived();
     await afterNextReading();
     expect(aborted).toEqual(Array.from({length: CALLERS}, () => true));
--- a/packages/test_kit/src/index.ts
+++ b/packages/test_kit/src/index.ts
@@ -6,5 +6,6 @@
 export * from './gated_clock/gated_clock.js';
 export * from './memory_disk/memory_disk.js';
 export * from './memory_network/memory_network.js';
+export * from './send_and_leave/send_and_leave.js';
 export * from './silent_log/silent_log.js';
 export * from './virtual_clock/virtual_clock.js';
