Submit no job on a reading from before a pause

What callers saw: a task that ran twice for 11 to 47 ms. The first entry was stopped after it had read the request, and before it submitted the job; its caller left and came back elsewhere meanwhile, and the entry submitted the job in the turn in which it went on.

Cause: the reading that the submission had waited for was the one of before the pause. callerLeft shows it: afterMs 2,246 and 2,240, starts 3 ms after SIGCONT.

Change: afterNextReading returns the time up to which all has been read; a submission reads again while that is more than 0.2 s ago. A process that can read nothing in time refuses the job as tooLate at its deadline.

job_submitter.test.ts -t 'from before a pause' failed before.

--- a/packages/daemon/src/caller_api/caller_routes.ts
+++ b/packages/daemon/src/caller_api/caller_routes.ts
@@ -136,7 +136,7 @@
   work: Work,
   signal: AbortSignal,
 ): Promise<Outcome> {
-  await afterNextReading();
+  await afterNextReading(opts.clock);
   signal.throwIfAborted();
   return opts.runRepeatable(work, signal);
 }
--- a/packages/daemon/src/caller_api/left_callers.test.ts
+++ b/packages/daemon/src/caller_api/left_callers.test.ts
@@ -2,6 +2,7 @@
 import {connect} from 'node:net';
 import {sendAndLeave, SilentLog} from '@papayarun/test_kit';
 import type {KindId, Outcome, Work} from '@papayarun/protocol';
+import {SystemClock} from '@papayarun/protocol';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import {HttpApp} from '../http/http_app.js';
 import type {CallerApiOptions} from './caller_api_options.js';
@@ -30,6 +31,7 @@
       } as unknown as Outcome);
     };
     const opts: Partial<CallerApiOptions> = {
+      clock: SystemClock.create(),
       defaultDeadlineMs: 1_000,
       policy: {
         resolveKind: (kind: KindId) => kind,
--- a/packages/daemon/src/entry_instance/_test/entry_group.ts
+++ b/packages/daemon/src/entry_instance/_test/entry_group.ts
@@ -283,7 +283,7 @@
       clock: this.clock,
       log: this.log,
       keepAliveMs: 300,
-      afterNextReading: () => Promise.resolve(),
+      afterNextReading: () => Promise.resolve(this.clock.now()),
       longestLeaseMs: longestLeaseMs(TIMING),
       schedule: (shard, job, submissionId) =>
         schedulers.submit(id, shard, job, false, submissionId),
--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -343,7 +343,7 @@
       clock,
       log,
       keepAliveMs: this.opts.cfg.heartbeatMs,
-      afterNextReading,
+      afterNextReading: () => afterNextReading(clock),
       longestLeaseMs: longestLeaseMs(this.opts.timing),
       schedule: (shard, job, submissionId) =>
         this.schedulers.submit(self, shard, job, false, submissionId),
--- a/packages/daemon/src/entry_instance/job_submitter.test.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.test.ts
@@ -89,8 +89,8 @@
   /** Times at which the cancel of a job was sent to the other instance. */
   readonly cancelNoticesMs: number[] = [];
   quoteRequests = 0;
-  /** Reads what has arrived on the connections. */
-  read: () => Promise<void> = () => Promise.resolve();
+  /** Reads what has arrived on the connections, up to the returned time. */
+  read: () => Promise<number> = () => Promise.resolve(this.clock.now());
   /** Instance that schedules the shard of this data centre. */
   localInstance = SELF;
   /** Grant of the scheduler that takes over the shard of this data centre. */
@@ -587,7 +587,10 @@
   it('submits nothing for a caller whose leave is read after its request', async () => {
     const fixture = new Fixture();
     const caller = new AbortController();
-    fixture.read = async () => caller.abort();
+    fixture.read = async () => {
+      caller.abort();
+      return fixture.clock.now();
+    };
     const answer = fixture.submitAndRecord(jobOf(2), caller.signal);
     await fixture.clock.advance(100);
     expect(fixture.localJobs).toEqual([]);
@@ -606,6 +609,7 @@
       if (++readings > 1) {
         caller.abort();
       }
+      return fixture.clock.now();
     };
     fixture.submitAndRecord(jobOf(2), caller.signal);
     await fixture.clock.advance(100);
@@ -615,16 +619,49 @@
 
   it('submits no job before what has arrived is read, and then that of a caller that stayed', async () => {
     const fixture = new Fixture();
-    let endReading = (): void => undefined;
+    let endReading: (readUpToMs: number) => void = () => undefined;
     fixture.read = () => new Promise(resolve => (endReading = resolve));
     const answer = fixture.submitAndRecord(jobOf(2));
     await fixture.clock.advance(100);
     expect(fixture.localJobs).toEqual([]);
-    endReading();
+    endReading(100);
     await fixture.clock.advance(0);
     expect(answer.outcome).toEqual(COMPLETED);
   });
 
+  // The process was paused after it had read, and before it submitted.
+  it('submits nothing on a reading from before a pause, for a caller that left in it', async () => {
+    const fixture = new Fixture();
+    const caller = new AbortController();
+    let readings = 0;
+    fixture.read = async () => {
+      const readUpToMs = fixture.clock.now();
+      if (++readings === 1) {
+        await fixture.clock.sleep(1_000);
+      } else {
+        caller.abort();
+      }
+      return readUpToMs;
+    };
+    fixture.submitAndRecord(jobOf(2), caller.signal);
+    await fixture.clock.advance(1_100);
+    expect(readings).toBe(2);
+    expect(fixture.localJobs).toEqual([]);
+  });
+
+  it('refuses a job at its deadline if it can read nothing in time', async () => {
+    const fixture = new Fixture();
+    fixture.read = async () => {
+      const readUpToMs = fixture.clock.now();
+      await fixture.clock.sleep(400);
+      return readUpToMs;
+    };
+    const answer = fixture.submitAndRecord(jobOf(2));
+    await fixture.clock.advance(1_600);
+    expect(answer.outcome).toMatchObject({kind: 'refused', reason: 'tooLate'});
+    expect(fixture.localJobs).toEqual([]);
+  });
+
   it('logs how long after the request was read its caller left, and which scheduler had the job', async () => {
     const fixture = new Fixture();
     fixture.scheduleLocally = () => new Promise(() => undefined);
--- a/packages/daemon/src/entry_instance/job_submitter.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.ts
@@ -57,6 +57,12 @@
  * any; under overload all do, and each quote adds to the load.
  */
 const QUOTES_PER_JOB = 2;
+/**
+ * Age up to which a reading tells that a caller waits, in milliseconds. Together with
+ * the silence after which a scheduler cancels the jobs of an instance it is shorter
+ * than the time after which a caller sends a job again.
+ */
+const MAX_READING_AGE_MS = 200;
 /** Retry delay sent to callers if no scheduler is reachable, in milliseconds. */
 const NO_SCHEDULER_RETRY_MS = 1_000;
 
@@ -70,6 +76,11 @@
   ...NO_SCHEDULER_REFUSAL,
   reason: 'cancelled',
 };
+/** Of an instance that reads no faster than its callers' deadlines pass. */
+const OVERLOADED_REFUSAL: Extract<JobOutcome, {kind: 'refused'}> = {
+  ...NO_SCHEDULER_REFUSAL,
+  reason: 'tooLate',
+};
 const SCHEDULER_LOST_FAILURE = {
   kind: 'failed',
   reason: 'schedulerLost',
@@ -245,12 +256,13 @@
     job: ScheduledJob,
     signal: AbortSignal,
   ): Promise<JobOutcome> {
-    // The request may have waited unread with the end of its connection behind
-    // it, and its caller may have sent it again elsewhere.
-    await this.opts.afterNextReading();
+    const isRead = await this.readArrived(job, signal);
     if (signal.aborted) {
       return CANCELLED_REFUSAL;
     }
+    if (!isRead) {
+      return OVERLOADED_REFUSAL;
+    }
     const {instanceId} = scheduler.grant;
     const {interrupted} = this.opts;
     const ended = new AbortController();
@@ -280,6 +292,31 @@
     }
   }
 
+  /**
+   * Reads what has arrived: the end of the caller's connection may lie behind its
+   * request, and the job may have been sent again elsewhere. A reading from before a
+   * pause of this process tells nothing of it.
+   *
+   * @returns Whether a recent reading was possible before the job's deadline.
+   */
+  private async readArrived(
+    job: ScheduledJob,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const {afterNextReading, clock} = this.opts;
+    const deadlineMs = clock.now() + job.leftMs;
+    for (;;) {
+      const readUpToMs = await afterNextReading();
+      const nowMs = clock.now();
+      if (signal.aborted || nowMs - readUpToMs <= MAX_READING_AGE_MS) {
+        return true;
+      }
+      if (nowMs >= deadlineMs) {
+        return false;
+      }
+    }
+  }
+
   private async submitToPeer(
     {shard, grant: {instanceId}}: ShardScheduler,
     job: ScheduledJob,
--- a/packages/daemon/src/entry_instance/job_submitter_options.ts
+++ b/packages/daemon/src/entry_instance/job_submitter_options.ts
@@ -31,8 +31,11 @@
   readonly keepAliveMs: number;
   /** Longest time for which runs of a lost scheduler go on, in milliseconds. */
   readonly longestLeaseMs: number;
-  /** Resolves when what has arrived on open connections has been read. */
-  readonly afterNextReading: () => Promise<void>;
+  /**
+   * Reads what has arrived on open connections; returns the monotonic time up to
+   * which all has been read, in milliseconds.
+   */
+  readonly afterNextReading: () => Promise<number>;
   readonly interrupted: InterruptedJobs;
   /** Runs a job on a shard that this instance schedules. */
   readonly schedule: (
--- a/packages/daemon/src/http/left_callers.test.ts
+++ b/packages/daemon/src/http/left_callers.test.ts
@@ -1,11 +1,13 @@
 import {once} from 'node:events';
 import {connect} from 'node:net';
 import {sendAndLeave, SilentLog} from '@papayarun/test_kit';
+import {SystemClock} from '@papayarun/protocol';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import {afterNextReading} from '../loop_lag/after_next_reading.js';
 import {HttpApp} from './http_app.js';
 
 const CALLERS = 40;
+const clock = SystemClock.create();
 describe('HttpApp', () => {
   let app: HttpApp;
   /** Whether each request was aborted after the next reading. */
@@ -20,7 +22,7 @@
             method: 'GET',
             path: '/',
             handle: async ({signal}) => {
-              await afterNextReading();
+              await afterNextReading(clock);
               aborted.push(signal.aborted);
               return {status: 200, body: Buffer.from('whole')};
             },
@@ -44,7 +46,7 @@
     }));
     sendAndLeave(`127.0.0.1:${app.port}`, requests);
     await app.readArrived();
-    await afterNextReading();
+    await afterNextReading(clock);
     expect(aborted).toEqual(Array.from({length: CALLERS}, () => true));
   });
 
--- a/packages/daemon/src/loop_lag/after_next_reading.ts
+++ b/packages/daemon/src/loop_lag/after_next_reading.ts
@@ -1,3 +1,4 @@
+import type {Clock} from '@papayarun/protocol';
 import {afterReading} from './after_reading.js';
 
 /**
@@ -7,13 +8,18 @@
  * @description While the loop reads, it may have passed a connection already, and
  * it reads the end of a connection a turn later than the data before it. So the
  * rest of the current turn and a whole one are awaited.
- * @returns Resolves in the phase of the event loop that follows the reading.
+ * @param clock - Monotonic clock.
+ * @returns Monotonic time up to which all has been read, in milliseconds; long ago
+ *   if the process was paused between the reading and its return.
  * @throws Never.
  * @example
- * await afterNextReading();
- * const hasLeft = req.signal.aborted;
+ * const readUpToMs = await afterNextReading(clock);
  */
-export async function afterNextReading(): Promise<void> {
+export async function afterNextReading(
+  clock: Pick<Clock, 'now'>,
+): Promise<number> {
   await afterReading();
+  const readUpToMs = clock.now();
   await afterReading();
+  return readUpToMs;
 }
