Withdraw a job at once that was sent after a pause, before it starts

Cause: the entry was stopped between its reading and the write of scheduleJob. When it went on it sent the job and, some ms later, when it had read the leave of its caller, the cancel; the scheduler had placed the job by then. A message says nothing of the age of what it rests on.

Change: the entry looks at the clock once it has sent a job. If its reading is old by then, it cancels the submission in the same turn, and submits the job again if its caller has stayed. The scheduler reads what has arrived before it places a job of another instance, so that a cancel right behind counts. No message changes; beside an old scheduler the run is as short as the two messages are apart.

Cost: two turns of the scheduler's loop for a job of another instance.

Four tests, in local_schedulers.test.ts and job_submitter.test.ts, failed before.

--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -77,6 +77,7 @@
       heardMs: requester => this.heardMs(requester),
       isHolderActive: grant => this.isHolderActive(grant),
       catchUp: () => this.node.loopLag.catchUp(),
+      afterNextReading: () => afterNextReading(opts.clock),
       otherRunsForMs: (jobId, isKnown) =>
         this.interrupted.otherRunsForMs(jobId, isKnown),
       onAdmitted: () => this.interrupted.recordAdmission(),
--- a/packages/daemon/src/entry_instance/job_submitter.test.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.test.ts
@@ -649,6 +649,43 @@
     expect(fixture.localJobs).toEqual([]);
   });
 
+  // The process was paused between the reading and the write of the message.
+  it('cancels at once a job that it sends after a pause, and submits it again for a caller that stays', async () => {
+    const fixture = new Fixture();
+    fixture.localInstance = REMOTE;
+    const now = vi.spyOn(fixture.clock, 'now');
+    fixture.scheduleRemotely = () => {
+      if (fixture.remoteJobs.length > 1) {
+        return Promise.resolve(COMPLETED);
+      }
+      const pausedMs = fixture.clock.now() + 1_000;
+      now.mockImplementationOnce(() => pausedMs);
+      return new Promise(resolve => {
+        fixture.receiveCancel = () => resolve(NOT_STARTED);
+      });
+    };
+    const answer = fixture.submitAndRecord(jobOf(2));
+    await fixture.clock.advance(0);
+    expect(fixture.cancelNoticesMs).toEqual([0]);
+    await fixture.clock.advance(50);
+    expect(answer.outcome).toEqual(COMPLETED);
+    expect(fixture.remoteJobs).toHaveLength(2);
+  });
+
+  // The scheduler had stood still, and took the silence before it for one of the entry.
+  it('submits a job once more that a scheduler has cancelled while its caller waits', async () => {
+    const fixture = new Fixture();
+    fixture.localInstance = REMOTE;
+    fixture.scheduleRemotely = () =>
+      Promise.resolve(fixture.remoteJobs.length > 1 ? COMPLETED : NOT_STARTED);
+    expect(await fixture.submit(jobOf(2))).toEqual(COMPLETED);
+    fixture.remoteJobs.length = 0;
+    fixture.others = [];
+    fixture.scheduleRemotely = () => Promise.resolve(NOT_STARTED);
+    expect(await fixture.submit(jobOf(2))).toMatchObject({reason: 'cancelled'});
+    expect(fixture.remoteJobs).toHaveLength(2);
+  });
+
   it('refuses a job at its deadline if it can read nothing in time', async () => {
     const fixture = new Fixture();
     fixture.read = async () => {
--- a/packages/daemon/src/entry_instance/job_submitter.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.ts
@@ -256,40 +256,72 @@
     job: ScheduledJob,
     signal: AbortSignal,
   ): Promise<JobOutcome> {
-    const isRead = await this.readArrived(job, signal);
-    if (signal.aborted) {
-      return CANCELLED_REFUSAL;
-    }
-    if (!isRead) {
-      return OVERLOADED_REFUSAL;
+    const {clock} = this.opts;
+    const startedMs = clock.now();
+    let isRepeated = false;
+    for (;;) {
+      const readUpToMs = await this.readArrived(startedMs + job.leftMs, signal);
+      if (signal.aborted) {
+        return CANCELLED_REFUSAL;
+      }
+      if (readUpToMs === undefined) {
+        return OVERLOADED_REFUSAL;
+      }
+      const currentJob = this.withElapsedTime(job, startedMs);
+      const submission = this.submitOnce(scheduler, currentJob, signal);
+      const isStale = clock.now() - readUpToMs > MAX_READING_AGE_MS;
+      if (isStale) {
+        // The process was paused since, and the caller may have left.
+        submission.cancel();
+      }
+      const outcome = await submission.outcome;
+      const mayRepeat = isStale || !isRepeated;
+      if (signal.aborted || !isCancelledUnstarted(outcome) || !mayRepeat) {
+        return outcome;
+      }
+      // The scheduler had stood still, and took this instance for silent.
+      isRepeated = true;
     }
+  }
+
+  /** Submits a job; what it returns can cancel it. */
+  private submitOnce(
+    scheduler: ShardScheduler,
+    job: ScheduledJob,
+    signal: AbortSignal,
+  ): {readonly cancel: () => void; readonly outcome: Promise<JobOutcome>} {
     const {instanceId} = scheduler.grant;
     const {interrupted} = this.opts;
     const ended = new AbortController();
     this.submissions.add(instanceId, job);
     const submissionId = interrupted.recordSubmission(job);
+    const withdraw = (): void =>
+      void this.cancelUntilEnded(instanceId, job, ended.signal);
     const cancel = (): void => {
       interrupted.recordInterruption(job.id, submissionId);
-      void this.cancelUntilEnded(instanceId, job, ended.signal);
+      withdraw();
     };
     signal.addEventListener('abort', cancel, {once: true});
-    let outcome: JobOutcome | undefined;
-    try {
-      outcome =
-        instanceId === this.opts.self
-          ? await this.opts.schedule(scheduler.shard, job, submissionId)
-          : await this.submitToPeer(scheduler, job, submissionId);
-      return outcome;
-    } finally {
-      if (outcome && !mayRunOn(outcome)) {
-        interrupted.recordEnd(job.id, submissionId);
-      } else {
-        interrupted.recordLeftRuns(job.id, submissionId);
+    const run = async (): Promise<JobOutcome> => {
+      let outcome: JobOutcome | undefined;
+      try {
+        outcome =
+          instanceId === this.opts.self
+            ? await this.opts.schedule(scheduler.shard, job, submissionId)
+            : await this.submitToPeer(scheduler, job, submissionId);
+        return outcome;
+      } finally {
+        if (outcome && !mayRunOn(outcome)) {
+          interrupted.recordEnd(job.id, submissionId);
+        } else {
+          interrupted.recordLeftRuns(job.id, submissionId);
+        }
+        signal.removeEventListener('abort', cancel);
+        this.submissions.remove(instanceId, job);
+        ended.abort();
       }
-      signal.removeEventListener('abort', cancel);
-      this.submissions.remove(instanceId, job);
-      ended.abort();
-    }
+    };
+    return {cancel: withdraw, outcome: run()};
   }
 
   /**
@@ -297,22 +329,24 @@
    * request, and the job may have been sent again elsewhere. A reading from before a
    * pause of this process tells nothing of it.
    *
-   * @returns Whether a recent reading was possible before the job's deadline.
+   * @param deadlineMs - Monotonic time at which the caller leaves, in milliseconds.
+   * @param signal - Aborts when the caller disconnects.
+   * @returns Monotonic time up to which all has been read, in milliseconds;
+   *   undefined if there was no recent reading before the deadline.
    */
   private async readArrived(
-    job: ScheduledJob,
+    deadlineMs: number,
     signal: AbortSignal,
-  ): Promise<boolean> {
+  ): Promise<number | undefined> {
     const {afterNextReading, clock} = this.opts;
-    const deadlineMs = clock.now() + job.leftMs;
     for (;;) {
       const readUpToMs = await afterNextReading();
       const nowMs = clock.now();
       if (signal.aborted || nowMs - readUpToMs <= MAX_READING_AGE_MS) {
-        return true;
+        return readUpToMs;
       }
       if (nowMs >= deadlineMs) {
-        return false;
+        return undefined;
       }
     }
   }
@@ -590,6 +624,11 @@
   readonly runsEndMs: number;
 }
 
+/** Whether a submission was cancelled before a task of it had started. */
+function isCancelledUnstarted(outcome: JobOutcome): boolean {
+  return outcome.kind === 'refused' && outcome.reason === 'cancelled';
+}
+
 /** Whether a scheduler refused a job since it has nothing to run it on. */
 function hasNoTargets(reason: JobRefusal): boolean {
   return reason === 'notScheduler' || reason === 'noTargets';
--- a/packages/daemon/src/entry_instance/local_schedulers.test.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.test.ts
@@ -10,7 +10,8 @@
   ShardId,
 } from '@papayarun/protocol';
 import {SilentLog, VirtualClock} from '@papayarun/test_kit';
-import {describe, expect, it} from 'vitest';
+import {Scheduler} from '@papayarun/scheduling';
+import {describe, expect, it, vi} from 'vitest';
 import {LocalSchedulers} from './local_schedulers.js';
 import type {LocalSchedulersOptions} from './local_schedulers_options.js';
 
@@ -45,6 +46,8 @@
 class Fixture {
   readonly clock = VirtualClock.create();
   readonly log = SilentLog.create();
+  /** Reads what has arrived on the connections. */
+  read: () => Promise<void> = () => Promise.resolve();
   private readonly schedulers = LocalSchedulers.create(this.options());
 
   constructor() {
@@ -85,6 +88,7 @@
       heardMs: () => undefined,
       isHolderActive: () => false,
       catchUp: () => undefined,
+      afterNextReading: () => this.read(),
       onAdmitted: ignore,
       onRequesterLost: ignore,
       onLostSubmissionEnded: ignore,
@@ -131,6 +135,30 @@
     expect(answer.outcome).toMatchObject({reason: 'cancelled'});
   });
 
+  // An entry that was paused between its reading and the sending of the job sent
+  // both when it went on.
+  it.each([
+    [
+      'starts no job that is cancelled right behind',
+      (fixture: Fixture) => fixture.local.cancel(ENTRY, JOB.id, 'notice'),
+      {kind: 'refused', reason: 'cancelled'},
+    ],
+    [
+      'starts no job that its caller cancels by its id right behind',
+      (fixture: Fixture) => fixture.local.endJob(JOB.id),
+      {kind: 'failed', reason: 'cancelledByCaller'},
+    ],
+  ])('%s', async (_name, cancel, outcome) => {
+    const fixture = new Fixture();
+    fixture.read = async () => void cancel(fixture);
+    const submit = vi.spyOn(Scheduler.prototype, 'submit');
+    const answer = fixture.submit(ENTRY, JOB);
+    await fixture.clock.advance(0);
+    expect(submit).not.toHaveBeenCalled();
+    submit.mockRestore();
+    expect(answer.outcome).toEqual(expect.objectContaining(outcome));
+  });
+
   it('logs how long an entry had waited for a job that it cancels', async () => {
     const fixture = new Fixture();
     fixture.submit(ENTRY, JOB);
--- a/packages/daemon/src/entry_instance/local_schedulers.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.ts
@@ -21,11 +21,18 @@
   RunTimeEstimator,
   Scheduler,
 } from '@papayarun/scheduling';
+import {cancelledOutcome} from '../cancelled_jobs/cancelled_outcome.js';
 import {mayRunOn} from '../interrupted_jobs/may_run_on.js';
 import {processOfSubmission} from '../interrupted_jobs/process_of_submission.js';
 import type {LocalSchedulersOptions} from './local_schedulers_options.js';
 import type {WithdrawalCause} from './withdrawal_cause.js';
 
+const CANCELLED: JobOutcome = {
+  kind: 'refused',
+  reason: 'cancelled',
+  retryAfterMs: 500,
+  quote: EMPTY_QUOTE,
+};
 const NOT_SCHEDULER: JobOutcome = {
   kind: 'refused',
   reason: 'notScheduler',
@@ -45,6 +52,8 @@
   readonly isKeptAlive: boolean;
   /** Whether it was cancelled since the requester was lost. */
   isRequesterLost: boolean;
+  /** Whether its caller has cancelled the job. */
+  isEnded: boolean;
 }
 
 /**
@@ -156,11 +165,22 @@
       submissionId,
       isKeptAlive,
       isRequesterLost: false,
+      isEnded: false,
     };
     byJob.set(job.id, submissions.add(submission));
     const name = `${shard} ${submissionId}`;
     this.unended.add(name);
     try {
+      if (requester !== this.opts.self && !job.placed) {
+        // A requester that was paused while it sent the job cancels it right behind.
+        await this.opts.afterNextReading?.();
+      }
+      if (submission.isEnded) {
+        return cancelledOutcome(job);
+      }
+      if (!isAwaited(job, submissions)) {
+        return CANCELLED;
+      }
       const outcome = await scheduler.submit(job, requester, () => {
         if (requester === this.opts.self) {
           this.opts.onAdmitted();
@@ -242,9 +262,8 @@
           others: submissions.size,
         });
       }
-      const awaited = new Set([...submissions].map(({job}) => jobKey(job)));
       for (const {job} of cancelled) {
-        if (!awaited.has(jobKey(job))) {
+        if (!isAwaited(job, submissions)) {
           this.schedulers.get(shard)?.cancelSubmission(job);
         }
       }
@@ -260,8 +279,10 @@
   endJob(jobId: JobId): boolean {
     let isFound = false;
     for (const [shard, byJob] of this.submissions) {
-      if (byJob.has(jobId)) {
+      const submissions = byJob.get(jobId);
+      if (submissions) {
         isFound = true;
+        submissions.forEach(submission => (submission.isEnded = true));
         this.schedulers.get(shard)?.cancel(jobId, 'cancelledByCaller');
       }
     }
@@ -485,3 +506,12 @@
     return total;
   }
 }
+
+/** Whether some submissions are of a job, or of the same part of it. */
+function isAwaited(
+  job: ScheduledJob,
+  submissions: ReadonlySet<Submission>,
+): boolean {
+  const key = jobKey(job);
+  return [...submissions].some(other => jobKey(other.job) === key);
+}
--- a/packages/daemon/src/entry_instance/local_schedulers_options.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers_options.ts
@@ -39,6 +39,8 @@
    * undefined unless it runs late.
    */
   readonly catchUp: () => Promise<void> | undefined;
+  /** Resolves when what has arrived on open connections has been read. */
+  readonly afterNextReading?: () => Promise<unknown>;
   /**
    * Time for which runs of a job may go on that are not known here, in
    * milliseconds.
