--- a/packages/daemon/src/loop_lag/loop_lag_meter.ts
+++ b/packages/daemon/src/loop_lag/loop_lag_meter.ts
@@ -53,8 +53,9 @@
   }
 
   /**
-   * Monotonic time before which nothing arrived that is still unread, in
-   * milliseconds. What is read now may have arrived at any moment since.
+   * Monotonic time before which nothing arrived on an open connection that is
+   * still unread, in milliseconds. What is read now may have arrived at any moment
+   * since; a connection that waits to be accepted may be older.
    */
   get readUpToMs(): number {
     return this.readUpTo;
