--- a/packages/daemon/src/registered_jobs/job_registrar.ts
+++ b/packages/daemon/src/registered_jobs/job_registrar.ts
@@ -7,6 +7,7 @@
   RegisteredJob,
   RegisterJobCall,
   RegistrationId,
+  ReleasedJob,
 } from '@papayarun/protocol';
 import {processOfSubmission} from '../interrupted_jobs/process_of_submission.js';
 import {checkDuration} from '../interrupted_jobs/check_duration.js';
@@ -70,9 +71,12 @@
       }
       jobs.forEach(job => this.adopt(from, checkRegisteredJob(job)));
     });
-    network.onNotice('releaseJob', (_from, {jobId, registrationId, end}) =>
-      this.release(jobId, registrationId, end),
-    );
+    network.onNotice('releasedJobs', (_from, {jobs}) => {
+      if (!Array.isArray(jobs)) {
+        throw new Error('jobs is missing or not a list');
+      }
+      jobs.forEach(job => this.release(job));
+    });
     network.onNotice('lostRunsEnded', (_from, {jobId, process}) =>
       this.recordRunsEnd(jobId, process),
     );
@@ -204,11 +208,7 @@
     return registration;
   }
 
-  private release(
-    jobId: JobId,
-    registrationId: RegistrationId,
-    end: JobEnd | undefined,
-  ): void {
+  private release({jobId, registrationId, end}: ReleasedJob): void {
     const job = this.held.get(jobId);
     if (job && job.registrationId !== registrationId) {
       return;
--- a/packages/daemon/src/registered_jobs/job_registrations.ts
+++ b/packages/daemon/src/registered_jobs/job_registrations.ts
@@ -6,10 +6,12 @@
   JobRegistration,
   RegisteredJob,
   RegistrationId,
+  ReleasedJob,
   ScheduledJob,
   SubmissionId,
 } from '@papayarun/protocol';
 import {rendezvousOrder} from '@papayarun/protocol';
+import {NoticeBatcher} from '../interrupted_jobs/notice_batcher.js';
 import {processOfSubmission} from '../interrupted_jobs/process_of_submission.js';
 import {jobEndOf} from './job_end_of.js';
 import type {JobRegistrationsOptions} from './job_registrations_options.js';
@@ -46,6 +48,15 @@
  */
 const CURRENT_SHARE = 0.5;
 
+/**
+ * Delay of a notice of released jobs, in milliseconds. A copy that comes within it
+ * waits for the notice.
+ */
+const RELEASE_DELAY_MS = 100;
+/** Shortest interval of these notices in the long run, in milliseconds. */
+const RELEASE_INTERVAL_MS = 10;
+const RELEASE_BURST = 10;
+
 /** Job that callers of this instance wait for. */
 interface OpenJob {
   readonly jobId: JobId;
@@ -60,7 +71,9 @@
   /** Monotonic time at which a registrar was asked last, in milliseconds. */
   askedMs: number;
   isAsking: boolean;
-  /** Absent before the first submission; undefined if no registrar answers. */
+  /** Answer of a registrar that didn't wait; absent before the first submission. */
+  firstAnswer?: Promise<JobRegistration | undefined>;
+  /** The answer when no other process has the job; undefined without one. */
   registration?: Promise<JobRegistration | undefined>;
   isRunning: boolean;
   end: JobEnd | undefined;
@@ -81,7 +94,17 @@
   private unregisteredCount = 0;
   private answeredCopyCount = 0;
 
-  private constructor(private readonly opts: JobRegistrationsOptions) {}
+  private readonly releases: NoticeBatcher<OpenJob>;
+
+  private constructor(private readonly opts: JobRegistrationsOptions) {
+    this.releases = NoticeBatcher.create(opts.clock, {
+      delayMs: RELEASE_DELAY_MS,
+      intervalMs: () => RELEASE_INTERVAL_MS,
+      burst: RELEASE_BURST,
+      maxItems: Infinity,
+      send: jobs => this.sendReleases(jobs),
+    });
+  }
 
   /**
    * Creates the registrations.
@@ -117,12 +140,14 @@
     submit: () => Promise<JobOutcome>,
   ): Promise<JobOutcome> {
     const open = this.join(job);
+    let isAwaited = true;
     try {
       const outcome = await submit();
       open.end ??= jobEndOf(outcome);
+      isAwaited = open.end === undefined && !isRefusalAtOnce(outcome);
       return outcome;
     } finally {
-      this.leave(open);
+      this.leave(open, isAwaited);
     }
   }
 
@@ -143,13 +168,14 @@
       return undefined;
     }
     if (!open.registration || !this.isOpenCurrent(open)) {
-      open.registration = this.ask(open);
+      open.firstAnswer = this.askOnce(open, 0);
+      open.registration = this.completeAnswer(open, open.firstAnswer);
     }
-    const registration = await this.awaitRegistration(
-      open.registration,
-      job.leftMs,
-      signal,
-    );
+    const firstAnswer = await open.firstAnswer;
+    const registration =
+      firstAnswer?.kind === 'held'
+        ? await this.awaitRegistration(open.registration, job.leftMs, signal)
+        : firstAnswer;
     switch (registration?.kind) {
       case 'ended':
         this.answeredCopyCount++;
@@ -245,25 +271,43 @@
     return open;
   }
 
-  private leave(open: OpenJob): void {
+  /**
+   * Records that a request for a job has ended.
+   *
+   * @param isAwaited - Whether a caller may be back at once to have the job run.
+   */
+  private leave(open: OpenJob, isAwaited: boolean): void {
     if (--open.callers > 0) {
       return;
     }
     this.open.delete(open.jobId);
     open.closed.abort();
-    void this.release(open);
+    void this.release(open, isAwaited);
   }
 
-  private async release(open: OpenJob): Promise<void> {
+  private async release(open: OpenJob, isAwaited: boolean): Promise<void> {
     // A call in progress may still be granted.
     const registration = await open.registration;
-    if (registration?.kind === 'ended') {
-      return;
+    if (registration?.kind !== 'ended' && open.registrars.size > 0) {
+      this.releases.add([open]);
+      if (isAwaited) {
+        this.releases.flush();
+      }
+    }
+  }
+
+  private sendReleases(jobs: readonly OpenJob[]): void {
+    const byRegistrar = new Map<InstanceId, ReleasedJob[]>();
+    for (const {end, jobId, registrationId, registrars} of jobs) {
+      for (const registrar of registrars) {
+        const released = byRegistrar.get(registrar) ?? [];
+        released.push({jobId, registrationId, ...(end ? {end} : {})});
+        byRegistrar.set(registrar, released);
+      }
     }
-    const {end, jobId, registrationId, registrars} = open;
-    for (const registrar of registrars) {
-      const notice = {jobId, registrationId, end};
-      this.opts.network.notify(registrar, 'releaseJob', notice);
+    for (const [registrar, released] of byRegistrar) {
+      const notice = {jobs: released};
+      this.opts.network.notify(registrar, 'releasedJobs', notice);
     }
   }
 
@@ -285,61 +329,53 @@
     }
   }
 
-  private async ask(open: OpenJob): Promise<JobRegistration | undefined> {
+  /** Asks on if another process has the job, until it is free. */
+  private async completeAnswer(
+    open: OpenJob,
+    firstAnswer: Promise<JobRegistration | undefined>,
+  ): Promise<JobRegistration | undefined> {
     open.isAsking = true;
-    open.askedMs = this.opts.clock.now();
     try {
-      return await this.askUntilFree(open);
+      const answer = await firstAnswer;
+      if (answer?.kind === 'held') {
+        this.opts.log.emit('copyHeld', {jobId: open.jobId});
+        return await this.askUntilFree(open);
+      }
+      if (!answer) {
+        this.unregisteredCount++;
+      }
+      return answer;
     } finally {
       open.isAsking = false;
     }
   }
 
-  /** Asks the registrar of a job until no other process has it. */
-  private async askUntilFree(
-    open: OpenJob,
-  ): Promise<JobRegistration | undefined> {
-    const {clock, log} = this.opts;
-    let isHeld = false;
+  private async askUntilFree(open: OpenJob): Promise<JobRegistration> {
     while (!open.closed.signal.aborted) {
-      const registrar = this.registrarOf(open.jobId);
-      const registration =
-        registrar &&
-        (await this.askOnce(registrar, open, isHeld ? MAX_CALL_WAIT_MS : 0));
-      switch (registration?.kind) {
-        case 'granted':
-        case 'ended':
-          return registration;
-        case 'held':
-          if (!isHeld) {
-            log.emit('copyHeld', {jobId: open.jobId, registrar});
-          }
-          isHeld = true;
-          break;
-        case undefined:
-          if (!isHeld) {
-            this.unregisteredCount++;
-            return undefined;
-          }
-          await clock.sleep(ADOPTION_MS, open.closed.signal);
-          break;
-        default:
-          registration satisfies never;
+      const answer = await this.askOnce(open, MAX_CALL_WAIT_MS);
+      if (answer && answer.kind !== 'held') {
+        return answer;
+      }
+      if (!answer) {
+        await this.opts.clock.sleep(ADOPTION_MS, open.closed.signal);
       }
     }
     return {kind: 'held'};
   }
 
-  /** Asks a registrar once; undefined if it doesn't answer. */
+  /** Asks the registrar of a job once; undefined if there is no answer. */
   private async askOnce(
-    registrar: InstanceId,
     open: OpenJob,
     waitMs: number,
   ): Promise<JobRegistration | undefined> {
     const {clock, log, network} = this.opts;
+    open.askedMs = clock.now();
+    const registrar = this.registrarOf(open.jobId);
+    if (registrar === undefined) {
+      return undefined;
+    }
     const req = {...this.registeredJob(open), waitMs};
     const opts = {timeoutMs: waitMs + ANSWER_TIMEOUT_MS};
-    open.askedMs = clock.now();
     open.registrars.add(registrar);
     try {
       const res = await network.call(registrar, 'registerJob', req, opts);
@@ -395,3 +431,8 @@
     }
   }
 }
+
+/** Whether a job was refused before it was of interest to anybody. */
+function isRefusalAtOnce(outcome: JobOutcome): boolean {
+  return outcome.kind === 'refused' && outcome.reason !== 'cancelled';
+}
--- a/packages/protocol/src/event_log/event_catalogue.ts
+++ b/packages/protocol/src/event_log/event_catalogue.ts
@@ -428,7 +428,7 @@
   copyHeld: {
     number: 7017,
     level: 'info',
-    text: 'decision: copy of a job waits, since another process has the job; the event has the registrar',
+    text: 'decision: copy of a job waits, since another process has the job',
   },
   copyAnswered: {
     number: 7018,
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -66,6 +66,7 @@
 export * from './messages/register_job_call.js';
 export * from './messages/registered_job.js';
 export * from './messages/release_claim_call.js';
+export * from './messages/released_job.js';
 export * from './messages/replica_ref.js';
 export * from './messages/replica_set.js';
 export * from './messages/replica_status_call.js';
--- a/packages/protocol/src/messages/peer_notices.ts
+++ b/packages/protocol/src/messages/peer_notices.ts
@@ -7,9 +7,8 @@
 import type {TaskLoss} from '../scheduling/task_loss.js';
 import type {Heartbeat} from './heartbeat.js';
 import type {InFlightJob} from './in_flight_job.js';
-import type {JobEnd} from './job_end.js';
 import type {RegisteredJob} from './registered_job.js';
-import type {RegistrationId} from '../ids/registration_id.js';
+import type {ReleasedJob} from './released_job.js';
 
 /**
  * One-way messages between instances.
@@ -76,13 +75,8 @@
    * place of a lost one; versions before it ignore the notice.
    */
   registeredJobs: {readonly jobs: readonly RegisteredJob[]};
-  /** Ends a registration; versions before it ignore the notice. */
-  releaseJob: {
-    readonly jobId: JobId;
-    readonly registrationId: RegistrationId;
-    /** How the job has ended; absent if it may run again. */
-    readonly end?: JobEnd;
-  };
+  /** Ends registrations; versions before it ignore the notice. */
+  releasedJobs: {readonly jobs: readonly ReleasedJob[]};
   /**
    * Tells a state instance that a scheduler has no runs left of a job that a lost
    * process had submitted; versions before it ignore the notice.
