--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -6,6 +6,7 @@
 export * from './crash_evidence/crash_evidence.js';
 export * from './expected_ends/expected_ends.js';
 export * from './job_key/job_key.js';
+export * from './job_size/job_size_problem.js';
 export * from './load_meter/load_meter.js';
 export * from './longest_lease/longest_lease_ms.js';
 export * from './response_times/response_times.js';
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -23,6 +23,8 @@
 import {DepartedTargets} from '../_lib/departed_targets.js';
 import {compareWaitingJobs} from '../_lib/compare_waiting_jobs.js';
 import {jobKey} from '../job_key/job_key.js';
+import {jobSizeProblem} from '../job_size/job_size_problem.js';
+import {taskCount} from '../job_size/task_count.js';
 import {mayHaveRun} from '../_lib/may_have_run.js';
 import {placedTasks} from '../_lib/placed_tasks.js';
 import {slotFreeTimes} from '../_lib/slot_free_times.js';
@@ -81,6 +83,8 @@
  * milliseconds.
  */
 const OTHER_RUN_CHECK_MS = 20;
+/** Most tasks of the jobs in progress, which bounds the memory of their records. */
+const MAX_OPEN_TASKS = 100_000;
 /** Most run time samples in an outcome. */
 const MAX_OUTCOME_SAMPLES = 2;
 /**
@@ -119,6 +123,8 @@
   private endController = new AbortController();
   private readonly watchSleeper: Sleeper;
   private sequence = 0;
+  /** Number of tasks of the jobs in progress. */
+  private openTasks = 0;
   private beganMs = -Infinity;
   /** Monotonic time at which the first job was handed over under this grant. */
   private handedOverMs: number | undefined;
@@ -324,6 +330,9 @@
       this.logSentAgain(present, 'joined', requester);
       return present.outcome;
     }
+    if (!job.placed && this.hasNoRoomFor(job)) {
+      return Promise.resolve(this.refuseForRoom(job, requester));
+    }
     const nowMs = this.opts.clock.now();
     const {record, slots} = this.prepareRecord(job, nowMs);
     record.requester = requester;
@@ -366,6 +375,7 @@
     );
     this.loadMeter.add(job.priority, workMs, nowMs);
     this.jobs.set(key, record);
+    this.openTasks += record.tasks.length;
     if (job.leftMs < IDLE_WATCH_PERIOD_MS) {
       this.watchSleeper.wake();
     }
@@ -393,7 +403,7 @@
    * @returns The quote; an empty one without a grant.
    */
   quote(job: ScheduledJob): JobQuote {
-    if (!this.host) {
+    if (!this.host || this.hasNoRoomFor(job)) {
       return EMPTY_QUOTE;
     }
     const nowMs = this.opts.clock.now();
@@ -432,6 +442,34 @@
     }
   }
 
+  /** Whether the records of a job's tasks would take too much memory. */
+  private hasNoRoomFor({isPromised, steps}: ScheduledJob): boolean {
+    return (
+      jobSizeProblem(steps) !== undefined ||
+      (!isPromised && this.openTasks + taskCount(steps) > MAX_OPEN_TASKS)
+    );
+  }
+
+  /** Refuses a job before a record of it is made. */
+  private refuseForRoom(
+    job: ScheduledJob,
+    requester: InstanceId | undefined,
+  ): JobOutcome {
+    const outcome = refusal('tooMany');
+    this.opts.onOutcome(job, outcome, 0, undefined);
+    this.opts.log.emit('jobRefused', {
+      jobId: job.id,
+      requester,
+      shard: this.opts.shard,
+      outcome: outcome.kind,
+      reason: 'tooMany',
+      kind: job.kind,
+      tasks: taskCount(job.steps),
+      openTasks: this.openTasks,
+    });
+    return outcome;
+  }
+
   private prepareRecord(
     job: ScheduledJob,
     nowMs: number,
@@ -1038,21 +1076,18 @@
   }
 
   private unblockSteps(record: JobRecord): void {
-    record.job.steps.forEach((step, n) => {
-      const isReady = step.after.every(m =>
-        record.tasks.every(
-          task => task.stepIndex !== m || task.state === 'done',
-        ),
-      );
-      if (!isReady) {
-        return;
-      }
-      for (const task of record.tasks) {
-        if (task.stepIndex === n && task.state === 'blocked') {
-          task.state = 'waiting';
-        }
+    const isStepDone = record.job.steps.map(() => true);
+    for (const {state, stepIndex} of record.tasks) {
+      isStepDone[stepIndex] &&= state === 'done';
+    }
+    const isReady = record.job.steps.map(({after}) =>
+      after.every(n => isStepDone[n] ?? true),
+    );
+    for (const task of record.tasks) {
+      if (task.state === 'blocked' && isReady[task.stepIndex]) {
+        task.state = 'waiting';
       }
-    });
+    }
     if (hasUnplacedTask(record)) {
       this.enqueue(record);
     }
@@ -1098,7 +1133,9 @@
       return;
     }
     record.isConcluded = true;
-    this.jobs.delete(record.key);
+    if (this.jobs.delete(record.key)) {
+      this.openTasks -= record.tasks.length;
+    }
     this.waiting = this.waiting.filter(other => other !== record);
     this.reportOutcome(record, outcome);
     if (record.abandonedRuns.size === 0) {
