--- /dev/null
+++ b/packages/daemon/src/http/parse_json.test.ts
@@ -0,0 +1,26 @@
+import {DispatchError} from '@papayarun/protocol';
+import {describe, expect, it} from 'vitest';
+import * as z from 'zod';
+import {parseJson} from './parse_json.js';
+
+const schema = z.object({name: z.string()});
+const TEXT = '{"name":"três"}';
+
+describe('parseJson', () => {
+  it('parses and validates UTF-8', () => {
+    expect(parseJson(Buffer.from(TEXT), schema)).toEqual({name: 'três'});
+  });
+
+  // A name that nobody sent was taken over (review/10).
+  it('refuses text in another encoding, and says so', () => {
+    const parse = (): unknown => parseJson(Buffer.from(TEXT, 'latin1'), schema);
+    expect(parse).toThrow(DispatchError);
+    expect(parse).toThrow('the body is not valid JSON: it is not UTF-8');
+  });
+
+  it('names the field of a value of the wrong type', () => {
+    expect(() => parseJson(Buffer.from('{"name":7}'), schema)).toThrow(
+      '$.name',
+    );
+  });
+});
--- a/packages/daemon/src/http/parse_json.ts
+++ b/packages/daemon/src/http/parse_json.ts
@@ -1,4 +1,4 @@
-import {DispatchError} from '@papayarun/protocol';
+import {decodeJson, DispatchError} from '@papayarun/protocol';
 import type {z} from 'zod';
 
 /**
@@ -14,7 +14,7 @@
 export function parseJson<T>(body: Uint8Array, schema: z.ZodType<T>): T {
   let document: unknown;
   try {
-    document = JSON.parse(Buffer.from(body).toString('utf8'));
+    document = decodeJson(body);
   } catch (err) {
     const message = `the body is not valid JSON: ${(err as Error).message}`;
     throw DispatchError.notRun('badRequest', message, {field: '$'});
--- a/packages/daemon/src/operator_api/operator_routes.ts
+++ b/packages/daemon/src/operator_api/operator_routes.ts
@@ -1,6 +1,6 @@
 import type {TargetRecord} from '@papayarun/dispatch';
 import type {DataCentreId} from '@papayarun/protocol';
-import {DispatchError} from '@papayarun/protocol';
+import {decodeJson, DispatchError} from '@papayarun/protocol';
 import type {ControlState} from '@papayarun/releases';
 import {fingerprintOfNote, parseNote} from '@papayarun/releases';
 import type {HttpRequest} from '../http/http_request.js';
@@ -111,7 +111,7 @@
 
 function parseDocument(body: Uint8Array): unknown {
   try {
-    return JSON.parse(Buffer.from(body).toString('utf8'));
+    return decodeJson(body);
   } catch (err) {
     const message = `the body is not valid JSON: ${(err as Error).message}`;
     throw DispatchError.notRun('badRequest', message, {field: '$'});
--- a/packages/dispatch/src/job_runner/job_runner.ts
+++ b/packages/dispatch/src/job_runner/job_runner.ts
@@ -8,7 +8,7 @@
   TaskId,
   Work,
 } from '@papayarun/protocol';
-import {DispatchError, fitsIn} from '@papayarun/protocol';
+import {decodeJson, DispatchError, fitsIn} from '@papayarun/protocol';
 import type {JobProgress} from './job_progress.js';
 import type {JobRunnerOptions} from './job_runner_options.js';
 
@@ -238,11 +238,10 @@
 }
 
 function parseBody(body: Uint8Array): unknown {
-  const text = Buffer.from(body).toString('utf8');
   try {
-    return JSON.parse(text);
+    return decodeJson(body);
   } catch {
-    return text;
+    return Buffer.from(body).toString('utf8');
   }
 }
 
--- a/packages/membership/src/ws_peer_network/handshake.ts
+++ b/packages/membership/src/ws_peer_network/handshake.ts
@@ -1,5 +1,6 @@
 import {randomBytes} from 'node:crypto';
 import type {InstanceId} from '@papayarun/protocol';
+import {decodeJson} from '@papayarun/protocol';
 import type {WebSocket} from 'ws';
 import {isMacEqual, linkMac} from '../_lib/link_mac.js';
 import type {MessageInbox} from './message_inbox.js';
@@ -110,7 +111,7 @@
     return undefined;
   }
   try {
-    const value = JSON.parse(data.toString('utf8')) as Partial<Hello> | null;
+    const value = decodeJson(data) as Partial<Hello> | null;
     return typeof value?.id === 'string' && typeof value.nonce === 'string'
       ? (value as Hello)
       : undefined;
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,6 +1,7 @@
 export * from './brand/brand.js';
 export * from './clock/clock.js';
 export * from './clock/system_clock.js';
+export * from './codec/decode_json.js';
 export * from './codec/decode_message.js';
 export * from './codec/encode_message.js';
 export * from './digest/instance_digest.js';
