--- a/packages/daemon/src/entry_instance/_test/entry_group.ts
+++ b/packages/daemon/src/entry_instance/_test/entry_group.ts
@@ -310,6 +310,7 @@
             },
           ]),
         ),
+      registrarOf: jobId => registrations.registrarOfOwn(jobId),
       runsEndAfterMs: runsEndAfterLossMs(TIMING),
     });
     const registrations = JobRegistrations.create({
--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -379,6 +379,7 @@
       entries: () => livePeersOf('entry', membership, network),
       stateInstances: () => this.linkedStateInstances(),
       inFlightKeepers: () => inFlightKeepersOf(membership, network),
+      registrarOf: jobId => this.registrations.registrarOfOwn(jobId),
       runsEndAfterMs: runsEndAfterLossMs(timing),
     });
   }
--- a/packages/daemon/src/entry_instance/job_submitter.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.ts
@@ -260,21 +260,21 @@
     const startedMs = clock.now();
     let isRepeated = false;
     for (;;) {
-      const answer = await registrations.register(
-        this.withElapsedTime(job, startedMs),
-        signal,
-      );
+      const [answer, readUpToMs] = await Promise.all([
+        registrations.register(this.withElapsedTime(job, startedMs), signal),
+        this.readArrived(startedMs + job.leftMs, signal),
+      ]);
       if (answer) {
         return answer;
       }
-      const readUpToMs = await this.readArrived(startedMs + job.leftMs, signal);
       if (signal.aborted) {
         return CANCELLED_REFUSAL;
       }
       if (readUpToMs === undefined) {
         return OVERLOADED_REFUSAL;
       }
-      if (!registrations.isCurrent(job.id)) {
+      const hasWaited = clock.now() - readUpToMs > MAX_READING_AGE_MS;
+      if (hasWaited || !registrations.isCurrent(job.id)) {
         continue;
       }
       const currentJob = this.withElapsedTime(job, startedMs);
--- a/packages/daemon/src/interrupted_jobs/in_flight_notices.ts
+++ b/packages/daemon/src/interrupted_jobs/in_flight_notices.ts
@@ -22,10 +22,10 @@
  */
 export class InFlightNotices {
   private readonly batcher: NoticeBatcher<SubmissionId>;
-  /** Submissions that a backup may know of. */
-  private readonly told = new Set<SubmissionId>();
-  /** Ends of such submissions, for the next notice. */
-  private ends: InFlightJob[] = [];
+  /** Backups that may know of a submission. */
+  private readonly told = new Map<SubmissionId, Set<InstanceId>>();
+  /** Ends of such submissions, for the next notice to each backup. */
+  private readonly ends = new Map<InstanceId, InFlightJob[]>();
   /** Backups that know of all submissions named so far. */
   private toldBackups: ReadonlySet<InstanceId> = new Set();
 
@@ -73,10 +73,12 @@
 
   /** Names the end of a submission in the next notice. */
   recordEnd(jobId: InFlightJob['jobId'], submissionId: SubmissionId): void {
-    if (this.told.delete(submissionId)) {
-      this.ends.push({jobId, submissionId, forMs: 0});
-      this.ends = this.ends.slice(-MAX_ENDS);
+    const ended = {jobId, submissionId, forMs: 0};
+    for (const backup of this.told.get(submissionId) ?? []) {
+      const ends = [...(this.ends.get(backup) ?? []), ended];
+      this.ends.set(backup, ends.slice(-MAX_ENDS));
     }
+    this.told.delete(submissionId);
   }
 
   /**
@@ -102,23 +104,39 @@
   /** Names submissions to the backups, and all of them to a new backup. */
   private send(ids: readonly SubmissionId[]): void {
     const {inFlight, network, runsEndAfterMs, submissions} = this.opts;
-    const started = this.tell(inFlight(new Set(ids)));
+    const started = inFlight(new Set(ids));
     if (started.length === 0) {
       return;
     }
     const backups = this.opts.backups();
     for (const backup of backups) {
-      const jobs = this.toldBackups.has(backup)
-        ? [...started, ...this.ends]
-        : this.tell(inFlight(submissions()));
-      network.notify(backup, 'jobsInFlight', {jobs, runsEndAfterMs});
+      const isTold = this.toldBackups.has(backup);
+      const named = this.tell(
+        backup,
+        isTold ? started : inFlight(submissions()),
+      );
+      if (named.length > 0) {
+        const jobs = [
+          ...named,
+          ...(isTold ? (this.ends.get(backup) ?? []) : []),
+        ];
+        network.notify(backup, 'jobsInFlight', {jobs, runsEndAfterMs});
+        this.ends.delete(backup);
+      }
     }
     this.toldBackups = new Set(backups);
-    this.ends = [];
   }
 
-  private tell(jobs: InFlightJob[]): InFlightJob[] {
-    jobs.forEach(({submissionId}) => this.told.add(submissionId));
-    return jobs;
+  /** Those of some jobs that a backup is told of. */
+  private tell(
+    backup: InstanceId,
+    jobs: readonly InFlightJob[],
+  ): InFlightJob[] {
+    const named = jobs.filter(({jobId}) => this.opts.isToldOf(backup, jobId));
+    for (const {submissionId} of named) {
+      const backups = this.told.get(submissionId) ?? new Set<InstanceId>();
+      this.told.set(submissionId, backups.add(backup));
+    }
+    return named;
   }
 }
--- a/packages/daemon/src/interrupted_jobs/in_flight_notices_options.ts
+++ b/packages/daemon/src/interrupted_jobs/in_flight_notices_options.ts
@@ -2,6 +2,7 @@
   Clock,
   InFlightJob,
   InstanceId,
+  JobId,
   PeerNetwork,
   SubmissionId,
 } from '@papayarun/protocol';
@@ -21,6 +22,8 @@
    * milliseconds.
    */
   readonly runsEndAfterMs: number;
+  /** Whether a backup is told of a job, of which another one may know already. */
+  readonly isToldOf: (backup: InstanceId, jobId: JobId) => boolean;
   /** All submissions of this instance whose runs may go on. */
   readonly submissions: () => Iterable<SubmissionId>;
   /** Those of some submissions whose runs may go on. */
--- a/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
@@ -62,10 +62,12 @@
     this.inFlightNotices = [
       this.createInFlightNotices(
         () => this.entryBackups(),
+        () => true,
         () => IN_FLIGHT_INTERVAL_MS,
       ),
       this.createInFlightNotices(
         () => this.keepers(),
+        (keeper, jobId) => this.isToldOf(keeper, jobId),
         () => this.keeperIntervalMs(),
       ),
     ];
@@ -262,6 +264,7 @@
 
   private createInFlightNotices(
     backups: () => readonly InstanceId[],
+    isToldOf: (backup: InstanceId, jobId: JobId) => boolean,
     intervalMs: () => number,
   ): InFlightNotices {
     const {clock, runsEndAfterMs, network} = this.opts;
@@ -269,6 +272,7 @@
       clock,
       network,
       backups,
+      isToldOf,
       intervalMs,
       runsEndAfterMs,
       submissions: () => this.own.keys(),
@@ -285,6 +289,25 @@
     return selectBackups(self, dataCentre, dataCentresOf(inFlightKeepers()));
   }
 
+  /**
+   * Whether a state instance is told of a job. Its registrar knows it already, so one
+   * more is told, of another data centre.
+   */
+  private isToldOf(keeper: InstanceId, jobId: JobId): boolean {
+    const registrar = this.opts.registrarOf?.(jobId);
+    const keepers = this.opts.inFlightKeepers();
+    const place = registrar && keepers.get(registrar)?.dataCentre;
+    if (place === undefined) {
+      return true;
+    }
+    const elsewhere = this.keepers().find(
+      id => keepers.get(id)!.dataCentre !== place,
+    );
+    return elsewhere === undefined
+      ? keeper !== registrar
+      : keeper === elsewhere;
+  }
+
   /** Shortest interval that all of those take, in milliseconds. */
   private keeperIntervalMs(): number {
     const keepers = this.opts.inFlightKeepers();
--- a/packages/daemon/src/interrupted_jobs/interrupted_jobs_options.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_jobs_options.ts
@@ -3,6 +3,7 @@
   DataCentreId,
   EventLog,
   InstanceId,
+  JobId,
   PeerNetwork,
   RandomSource,
 } from '@papayarun/protocol';
@@ -24,6 +25,8 @@
   readonly stateInstances: () => readonly InstanceId[];
   /** Those that keep jobs in flight. */
   readonly inFlightKeepers: () => ReadonlyMap<InstanceId, InFlightKeeper>;
+  /** State instance that has registered a job of this instance, if one has. */
+  readonly registrarOf?: (jobId: JobId) => InstanceId | undefined;
   /**
    * Time after the loss of an instance by which the runs of its jobs, or of its
    * scheduler, have ended, in milliseconds.
--- a/packages/daemon/src/registered_jobs/job_registrations.ts
+++ b/packages/daemon/src/registered_jobs/job_registrations.ts
@@ -71,6 +71,8 @@
   /** Monotonic time at which a registrar was asked last, in milliseconds. */
   askedMs: number;
   isAsking: boolean;
+  /** Registrar that has granted the job last, as long as it is linked. */
+  grantedBy: InstanceId | undefined;
   /** Answer of a registrar that didn't wait; absent before the first submission. */
   firstAnswer?: Promise<JobRegistration | undefined>;
   /** The answer when no other process has the job; undefined without one. */
@@ -209,6 +211,11 @@
     return !open || this.isOpenCurrent(open);
   }
 
+  /** State instance that has registered a job of this instance, if one has. */
+  registrarOfOwn(jobId: JobId): InstanceId | undefined {
+    return this.open.get(jobId)?.grantedBy;
+  }
+
   /**
    * Tells the registrar of a job that a scheduler of this instance has no runs left
    * of it, which a lost instance had submitted.
@@ -224,6 +231,11 @@
 
   /** Names the jobs of a lost registrar to those that take its place. */
   recordLoss(instance: InstanceId): void {
+    for (const open of this.open.values()) {
+      if (open.grantedBy === instance) {
+        open.grantedBy = undefined;
+      }
+    }
     this.nameJobs(open => open.registrars.delete(instance));
   }
 
@@ -264,6 +276,7 @@
       closed: new AbortController(),
       askedMs: -Infinity,
       isAsking: false,
+      grantedBy: undefined,
       isRunning: false,
       end: undefined,
     };
@@ -379,6 +392,8 @@
     open.registrars.add(registrar);
     try {
       const res = await network.call(registrar, 'registerJob', req, opts);
+      const isGranted = res.registration.kind === 'granted';
+      open.grantedBy = isGranted ? registrar : undefined;
       return res.registration;
     } catch (err) {
       const untilMs = clock.now() + FAILURE_BACKOFF_MS;
