--- a/packages/daemon/src/registered_jobs/job_registrations.test.ts
+++ b/packages/daemon/src/registered_jobs/job_registrations.test.ts
@@ -119,6 +119,23 @@
     expect(names).toEqual(['copyHeld', 'copyAnswered']);
   });
 
+  it('answers a copy at the same entry before a registrar knows of the end', async () => {
+    const group = new Group();
+    const entry = group.createEntry('centro-1');
+    group.run('first', entry, 100);
+    await group.clock.advance(110);
+    for (const name of ['copy', 'other copy']) {
+      const copy = group.run(name, entry, 100);
+      await group.clock.advance(10);
+      expect(copy.outcome).toEqual(COMPLETED);
+    }
+    await group.clock.advance(RELEASE_MS);
+    const late = group.run('late', entry, 100);
+    await group.clock.advance(10);
+    expect(late.outcome).toEqual(COMPLETED);
+    expect(group.starts).toEqual(['first']);
+  });
+
   it('has a copy run when the job was refused', async () => {
     const group = new Group();
     group.run('first', group.createEntry('centro-1'), 100, {outcome: REFUSED});
--- a/packages/daemon/src/registered_jobs/job_registrations.ts
+++ b/packages/daemon/src/registered_jobs/job_registrations.ts
@@ -77,7 +77,8 @@
   firstAnswer?: Promise<JobRegistration | undefined>;
   /** The answer when no other process has the job; undefined without one. */
   registration?: Promise<JobRegistration | undefined>;
-  isRunning: boolean;
+  /** Whether this process may submit it, or has. */
+  mayRun: boolean;
   end: JobEnd | undefined;
 }
 
@@ -90,6 +91,8 @@
  */
 export class JobRegistrations {
   private readonly open = new Map<JobId, OpenJob>();
+  /** Ends that no registrar has been told yet. */
+  private readonly untoldEnds = new Map<JobId, JobEnd>();
   /** Monotonic time until which a registrar isn't asked. */
   private readonly backoffUntilMs = new Map<InstanceId, number>();
   private count = 0;
@@ -169,6 +172,10 @@
     if (!open) {
       return undefined;
     }
+    const untoldEnd = this.untoldEnds.get(job.id);
+    if (untoldEnd) {
+      return this.answerCopy(job.id, untoldEnd);
+    }
     if (!open.registration || !this.isOpenCurrent(open)) {
       open.firstAnswer = this.askOnce(open, 0);
       open.registration = this.completeAnswer(open, open.firstAnswer);
@@ -180,19 +187,14 @@
         : firstAnswer;
     switch (registration?.kind) {
       case 'ended':
-        this.answeredCopyCount++;
-        this.opts.log.emit('copyAnswered', {
-          jobId: job.id,
-          end: registration.end,
-        });
-        return outcomeOfEnd(registration.end);
+        return this.answerCopy(job.id, registration.end);
       case 'held':
         return signal.aborted
           ? undefined
           : {kind: 'failed', reason: 'deadline'};
       case 'granted':
       case undefined:
-        open.isRunning = true;
+        open.mayRun = true;
         return undefined;
       default:
         return registration satisfies never;
@@ -247,6 +249,12 @@
     this.nameJobs(({jobId}) => this.registrarOf(jobId) === instance);
   }
 
+  private answerCopy(jobId: JobId, end: JobEnd): JobOutcome {
+    this.answeredCopyCount++;
+    this.opts.log.emit('copyAnswered', {jobId, end});
+    return outcomeOfEnd(end);
+  }
+
   private isOpenCurrent({askedMs, isAsking, registration}: OpenJob): boolean {
     const {clock, runsEndAfterLossMs} = this.opts;
     const maxAgeMs = CURRENT_SHARE * runsEndAfterLossMs;
@@ -277,7 +285,7 @@
       askedMs: -Infinity,
       isAsking: false,
       grantedBy: undefined,
-      isRunning: false,
+      mayRun: false,
       end: undefined,
     };
     this.open.set(job.id, open);
@@ -301,17 +309,22 @@
   private async release(open: OpenJob, isAwaited: boolean): Promise<void> {
     // A call in progress may still be granted.
     const registration = await open.registration;
-    if (registration?.kind !== 'ended' && open.registrars.size > 0) {
-      this.releases.add([open]);
-      if (isAwaited) {
-        this.releases.flush();
-      }
+    if (registration?.kind === 'ended' || open.registrars.size === 0) {
+      return;
+    }
+    if (open.end) {
+      this.untoldEnds.set(open.jobId, open.end);
+    }
+    this.releases.add([open]);
+    if (isAwaited) {
+      this.releases.flush();
     }
   }
 
   private sendReleases(jobs: readonly OpenJob[]): void {
     const byRegistrar = new Map<InstanceId, ReleasedJob[]>();
     for (const {end, jobId, registrationId, registrars} of jobs) {
+      this.untoldEnds.delete(jobId);
       for (const registrar of registrars) {
         const released = byRegistrar.get(registrar) ?? [];
         released.push({jobId, registrationId, ...(end ? {end} : {})});
@@ -394,6 +407,7 @@
       const res = await network.call(registrar, 'registerJob', req, opts);
       const isGranted = res.registration.kind === 'granted';
       open.grantedBy = isGranted ? registrar : undefined;
+      open.mayRun ||= isGranted;
       return res.registration;
     } catch (err) {
       const untilMs = clock.now() + FAILURE_BACKOFF_MS;
@@ -431,7 +445,7 @@
     const byRegistrar = new Map<InstanceId, RegisteredJob[]>();
     for (const open of this.open.values()) {
       const registrar =
-        isSelected(open) && open.isRunning
+        isSelected(open) && open.mayRun
           ? this.registrarOf(open.jobId)
           : undefined;
       if (registrar !== undefined) {
