--- a/packages/scheduling/src/_lib/slot_free_times.test.ts
+++ b/packages/scheduling/src/_lib/slot_free_times.test.ts
@@ -73,19 +73,34 @@
 
 describe('slotFreeTimes', () => {
   it('counts free slots and those that running tasks will free', () => {
-    expect(slotFreeTimes(jobOf(4, 14), [sessionOf([14, 40])], 0, 4)).toEqual([
-      0, 40,
-    ]);
+    expect(slotFreeTimes(jobOf(4, 14), [sessionOf([14, 40])], 0, 4, 4)).toEqual(
+      [0, 40],
+    );
   });
 
   it('fits a large task on a busy target only after two small ones have ended', () => {
     const busy = sessionOf([14, 40], [14, 90]);
-    expect(slotFreeTimes(jobOf(4, 14), [busy], 0, 4)).toEqual([40, 90]);
-    expect(slotFreeTimes(jobOf(4, 20), [busy], 0, 4)).toEqual([90]);
+    expect(slotFreeTimes(jobOf(4, 14), [busy], 0, 4, 4)).toEqual([40, 90]);
+    expect(slotFreeTimes(jobOf(4, 20), [busy], 0, 4, 4)).toEqual([90]);
   });
 
   it('counts at most as many slots on a target as there are tasks to place', () => {
-    expect(slotFreeTimes(jobOf(1, 4), [sessionOf()], 0, 1)).toEqual([0]);
+    expect(slotFreeTimes(jobOf(1, 4), [sessionOf()], 0, 1, 1)).toEqual([0]);
+  });
+});
+
+describe('slotFreeTimes of a job that many targets have room for', () => {
+  it('looks at no more targets than it takes', () => {
+    const sessions = Array.from({length: 50}, () => sessionOf());
+    const times = slotFreeTimes(jobOf(4, 14), sessions, 0, 4, 6);
+    expect(times).toEqual([0, 0, 0, 0, 0, 0]);
+  });
+
+  it('looks at all of them as long as too few slots are free', () => {
+    const sessions = [sessionOf([14, 40], [14, 90]), sessionOf([14, 20])];
+    expect(slotFreeTimes(jobOf(4, 14), sessions, 0, 4, 4)).toEqual([
+      40, 90, 0, 20,
+    ]);
   });
 });
 
--- a/packages/scheduling/src/_lib/slot_free_times.ts
+++ b/packages/scheduling/src/_lib/slot_free_times.ts
@@ -12,23 +12,32 @@
  * @param nowMs - Monotonic time in milliseconds.
  * @param maxPerTarget - Most slots that are counted on one target: the number of
  *   tasks to place.
+ * @param maxFree - Number of free slots from which no more targets are looked at.
  * @returns Milliseconds for each slot, 0 for a free one.
  * @throws Never.
  * @example
- * slotFreeTimes(job, sessions.values(), clock.now(), 8);
+ * slotFreeTimes(job, sessions.values(), clock.now(), 8, 10);
  */
 export function slotFreeTimes(
   job: ScheduledJob,
   sessions: Iterable<TargetSession>,
   nowMs: number,
   maxPerTarget: number,
+  maxFree: number,
 ): number[] {
   const {service, steps} = job;
   const {needs} = steps[0]!;
   const freeTimesMs: number[] = [];
+  let freeCount = 0;
   for (const session of sessions) {
     if (session.isAvailable && session.report.service === service) {
-      freeTimesMs.push(...slotFreeTimesOn(session, needs, maxPerTarget, nowMs));
+      for (const atMs of slotFreeTimesOn(session, needs, maxPerTarget, nowMs)) {
+        freeTimesMs.push(atMs);
+        freeCount += Number(atMs === 0);
+      }
+      if (freeCount >= maxFree) {
+        break;
+      }
     }
   }
   return freeTimesMs;
--- a/packages/scheduling/src/scheduler/large_jobs.test.ts
+++ b/packages/scheduling/src/scheduler/large_jobs.test.ts
@@ -4,6 +4,7 @@
 import {jobOf} from '../_test/job_of.js';
 import {startScheduler} from '../_test/start_scheduler.js';
 import {TargetSimulation} from '../_test/target_simulation.js';
+import {waitForOutcome} from '../_test/wait_for_outcome.js';
 
 const [STEP] = jobOf(0).steps as [ScheduledStep];
 const TOO_MANY = {kind: 'refused', reason: 'tooMany'};
@@ -62,3 +63,39 @@
     expect(scheduler.waitingJobs).toBe(11);
   });
 });
+
+// Guards against a turn of the event loop that sends an order for each task of a job.
+describe('Placement of a large job', () => {
+  const NO_NEEDS = {cores: 0, memoryMb: 0, accelerators: 0};
+
+  it('goes on in the next turn of the event loop after some tasks', async () => {
+    const simulation = new TargetSimulation(1);
+    const scheduler = await startScheduler(simulation, 2);
+    const job = jobOf(1, {
+      steps: [{...STEP, count: 1_000, needs: NO_NEEDS}],
+      isPromised: true,
+    });
+    void scheduler.submit(job);
+    expect(scheduler.runningTasks).toBe(128);
+    await simulation.clock.advance(0);
+    expect(scheduler.runningTasks).toBe(1_000);
+  });
+
+  it('goes on when a target has room again', async () => {
+    const simulation = new TargetSimulation(1);
+    const scheduler = await startScheduler(simulation, 1);
+    const busy = jobOf(1, {steps: [{...STEP, count: 2}], isPromised: true});
+    const done = scheduler.submit(busy);
+    const large = jobOf(2, {
+      steps: [{...STEP, count: 5_000}],
+      isPromised: true,
+      leftMs: 60_000,
+    });
+    void scheduler.submit(large);
+    await simulation.clock.advance(1);
+    expect(scheduler.runningTasks).toBe(2);
+    await waitForOutcome(simulation.clock, done, 1_000);
+    await simulation.clock.advance(20);
+    expect(simulation.startsOf(large.id)).toBe(2);
+  });
+});
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -85,6 +85,11 @@
 const OTHER_RUN_CHECK_MS = 20;
 /** Most tasks of the jobs in progress, which bounds the memory of their records. */
 const MAX_OPEN_TASKS = 100_000;
+/**
+ * Most tasks placed in one turn of the event loop. Each sends an order, and what
+ * arrives meanwhile waits.
+ */
+const MAX_PLACED_PER_ROUND = 128;
 /** Most run time samples in an outcome. */
 const MAX_OUTCOME_SAMPLES = 2;
 /**
@@ -131,6 +136,8 @@
   /** Monotonic time at which the latest new target was added. */
   private lastTargetAddedMs = -Infinity;
   private isPlacementDue = false;
+  /** Whether the last round has left tasks to the next one. */
+  private isNextRoundDue = false;
   private isOtherRunCheckDue = false;
   /** Whether a target gets no new run until those that wait for one are heard. */
   private isLeaseShort = false;
@@ -508,18 +515,20 @@
       }
     }
     const ownMs = record.tasks.map(task => expectedMs[task.stepIndex]!);
-    const slotFreeMs = slotFreeTimes(
-      job,
-      this.sessions.values(),
-      nowMs,
-      aheadMs.length + ownMs.length,
-    );
     const urgentSlots = this.loadMeter.loadAbove(job.priority, nowMs);
     const reserved = reservedSlots({
       urgentSlots,
       busySlots: this.loadMeter.loadAbove(Infinity, nowMs),
       totalSlots: slots,
     });
+    const tasks = aheadMs.length + ownMs.length;
+    const slotFreeMs = slotFreeTimes(
+      job,
+      this.sessions.values(),
+      nowMs,
+      tasks,
+      tasks + Math.ceil(reserved),
+    );
     const endsMs = expectedEnds(
       unreservedSlots(slotFreeMs, reserved),
       aheadMs,
@@ -698,7 +707,7 @@
 
   /** Places waiting tasks, in the order of their jobs. */
   private placeWaitingTasks(): void {
-    if (!this.host || this.waiting.length === 0) {
+    if (!this.host || this.waiting.length === 0 || this.isNextRoundDue) {
       return;
     }
     const candidates = this.availableCandidates();
@@ -707,6 +716,7 @@
     this.withholdForSuspect(candidates);
     const slots = countSlots(candidates);
     const busySlots = this.loadMeter.loadAbove(Infinity, nowMs);
+    let placedCount = 0;
     for (const record of [...this.waiting]) {
       this.resolveClaims(record);
       this.resolveEarlierRuns(record);
@@ -724,26 +734,65 @@
         busySlots,
         totalSlots: slots.totalSlots,
       });
-      const placed: RunRecord[] = [];
-      for (const task of record.tasks) {
-        const mayPlace = reserved === 0 || slots.freeSlots > reserved;
-        if (
-          task.state === 'waiting' &&
-          mayPlace &&
-          !this.openRuns.has(task.taskId)
-        ) {
-          const run = this.placeTask(task, candidates);
-          if (run) {
-            placed.push(run);
-            slots.freeSlots--;
-          }
-        }
-      }
+      const placed = this.placeTasks(
+        record,
+        candidates,
+        MAX_PLACED_PER_ROUND - placedCount,
+        () => reserved === 0 || slots.freeSlots > reserved,
+        () => slots.freeSlots--,
+      );
+      placedCount += placed.length;
       this.logPlaced(record, placed, nowMs);
+      if (placedCount === MAX_PLACED_PER_ROUND) {
+        void this.placeInNextRound();
+        break;
+      }
     }
     this.waiting = this.waiting.filter(hasUnplacedTask);
   }
 
+  /** Places waiting tasks of a job, up to a number of them. */
+  private placeTasks(
+    record: JobRecord,
+    candidates: SessionCandidate[],
+    maxCount: number,
+    mayPlace: () => boolean,
+    onPlaced: () => void,
+  ): RunRecord[] {
+    const placed: RunRecord[] = [];
+    /** Steps of which a task has found no target in this round. */
+    const fullSteps = new Set<number>();
+    for (const task of record.tasks) {
+      const {stepIndex, taskId} = task;
+      if (placed.length >= maxCount || !mayPlace()) {
+        break;
+      }
+      if (task.state !== 'waiting' || this.openRuns.has(taskId)) {
+        continue;
+      }
+      const isSuspect = this.opts.crashes.isSuspect(taskId);
+      if (fullSteps.has(stepIndex) && !isSuspect) {
+        continue;
+      }
+      const run = this.placeTask(task, candidates);
+      if (run) {
+        placed.push(run);
+        onPlaced();
+      } else if (!isSuspect && task.excludedTargets.size === 0) {
+        fullSteps.add(stepIndex);
+      }
+    }
+    return placed;
+  }
+
+  /** Goes on with the placement when other events have been handled. */
+  private async placeInNextRound(): Promise<void> {
+    this.isNextRoundDue = true;
+    await this.opts.clock.sleep(0);
+    this.isNextRoundDue = false;
+    this.schedulePlacement();
+  }
+
   /** Places waiting tasks again until runs elsewhere have ended. */
   private async placeAfterOtherRuns(): Promise<void> {
     if (!this.isOtherRunCheckDue) {
