--- a/packages/daemon/src/registered_jobs/job_registrar.ts
+++ b/packages/daemon/src/registered_jobs/job_registrar.ts
@@ -21,7 +21,7 @@
 /** Most jobs held at once; more are granted without being recorded. */
 const MAX_HELD = 32_768;
 
-/** Job that a process has. */
+/** Job that a process has. Not a job that `HeldJobs` keeps from being submitted. */
 interface HeldJob {
   readonly instance: InstanceId;
   readonly process: string;
