Replicate the evacuation of data centres

The replicated log holds, for each data centre, the latest order to evacuate it or to take it back, with a serial number. A command that was held up carries the serial number that its proposer knew and is rejected once the order has changed.

--- a/packages/membership/src/_lib/check_heartbeat.ts
+++ b/packages/membership/src/_lib/check_heartbeat.ts
@@ -23,6 +23,7 @@
   intervalMs: isOptional(isAmount),
   leads: isOptional(value => typeof value === 'boolean'),
   registersJobs: isOptional(value => typeof value === 'boolean'),
+  appliesEvacuations: isOptional(value => typeof value === 'boolean'),
   maxTargets: isOptional(isAmount),
   inFlightIntervalMs: isOptional(isAmount),
 };
--- a/packages/protocol/src/messages/heartbeat.ts
+++ b/packages/protocol/src/messages/heartbeat.ts
@@ -39,4 +39,9 @@
    * versions of state instances that don't.
    */
   readonly registersJobs?: boolean;
+  /**
+   * Whether the instance applies the log commands that evacuate data centres.
+   * Absent in versions that don't, and where evacuations are not enabled.
+   */
+  readonly appliesEvacuations?: boolean;
 }
--- a/packages/protocol/src/scheduling/job_failure.ts
+++ b/packages/protocol/src/scheduling/job_failure.ts
@@ -8,6 +8,8 @@
   | 'kindSuspected'
   | 'deadline'
   | 'schedulerLost'
+  /** Its data centre was evacuated before all of its tasks had started. */
+  | 'evacuated'
   | 'cancelled'
   /** Its caller has cancelled it by name, or another one has. */
   | 'cancelledByCaller'
--- a/packages/protocol/src/scheduling/job_refusal.ts
+++ b/packages/protocol/src/scheduling/job_refusal.ts
@@ -9,4 +9,6 @@
   /** The job would end in time, but other schedulers may start it earlier. */
   | 'wouldWait'
   | 'tooMany'
+  /** Nothing may be started on the targets of the data centre. */
+  | 'evacuated'
   | 'cancelled';
--- a/packages/releases/src/apply_command/apply_command.test.ts
+++ b/packages/releases/src/apply_command/apply_command.test.ts
@@ -9,6 +9,7 @@
 import type {ControlCommand} from '../command/control_command.js';
 import type {ControlState} from '../control_state/control_state.js';
 import {EMPTY_CONTROL_STATE} from '../control_state/empty_control_state.js';
+import {isEvacuated} from '../is_evacuated/is_evacuated.js';
 import type {NoteVerdict} from '../note/note_verdict.js';
 import type {ReleaseNote} from '../note/release_note.js';
 import {resolveBehaviours} from '../resolve_behaviours/resolve_behaviours.js';
@@ -227,3 +228,70 @@
     expect(lost.state).toBe(won.state);
   });
 });
+
+describe('applyCommand with evacuations', () => {
+  const order = (isEvacuated: boolean, fromSerial: number): ControlCommand => ({
+    kind: 'setEvacuation',
+    dataCentre: CENTRO,
+    isEvacuated,
+    fromSerial,
+    atMs: 7,
+  });
+  const apply = (
+    commands: readonly ControlCommand[],
+  ): {state: ControlState; accepted: boolean[]} => {
+    let state = EMPTY_CONTROL_STATE;
+    const accepted = commands.map(command => {
+      const applied = applyCommand(state, command);
+      state = applied.state;
+      return applied.result.kind === 'evacuation' && applied.result.accepted;
+    });
+    return {state, accepted};
+  };
+
+  it('accepts an order that is in force already, and changes nothing', () => {
+    const {state, accepted} = apply([
+      order(false, 0),
+      order(true, 0),
+      order(true, 0),
+    ]);
+    expect(accepted).toEqual([true, true, true]);
+    expect(state.evacuations[CENTRO]).toEqual({
+      serial: 1,
+      isEvacuated: true,
+      atMs: 7,
+    });
+  });
+
+  // A copy that was held up on its way evacuated a data centre that was in service.
+  it('rejects a copy of an order that was withdrawn since it was proposed', () => {
+    const {state, accepted} = apply([
+      order(true, 0),
+      order(false, 1),
+      order(true, 0),
+    ]);
+    expect(accepted).toEqual([true, true, false]);
+    expect(isEvacuated(state, CENTRO)).toBe(false);
+  });
+
+  it('never uses a serial number twice, whatever orders come', () => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.tuple(fc.boolean(), fc.nat(6)), {maxLength: 30}),
+        orders => {
+          let state = EMPTY_CONTROL_STATE;
+          const states = new Map<number, boolean>();
+          for (const [wanted, fromSerial] of orders) {
+            state = applyCommand(state, order(wanted, fromSerial)).state;
+            const {serial, isEvacuated: inForce} = state.evacuations[
+              CENTRO
+            ] ?? {serial: 0, isEvacuated: false};
+            expect(states.get(serial) ?? inForce).toBe(inForce);
+            states.set(serial, inForce);
+          }
+        },
+      ),
+      {seed: 1},
+    );
+  });
+});
--- a/packages/releases/src/apply_command/apply_command.ts
+++ b/packages/releases/src/apply_command/apply_command.ts
@@ -1,6 +1,7 @@
 import type {ControlCommand} from '../command/control_command.js';
 import type {ControlState} from '../control_state/control_state.js';
 import {applyConfiguration} from '../_lib/apply_configuration.js';
+import {applyEvacuation} from '../_lib/apply_evacuation.js';
 import {applyGrant} from '../_lib/apply_grant.js';
 import {applyNote} from '../_lib/apply_note.js';
 import {applyPreferences} from '../_lib/apply_preferences.js';
@@ -40,6 +41,8 @@
       return applyTargetAssignment(state, command);
     case 'removeTargets':
       return applyTargetRemoval(state, command);
+    case 'setEvacuation':
+      return applyEvacuation(state, command);
     default:
       return command satisfies never;
   }
--- a/packages/releases/src/command/control_command.ts
+++ b/packages/releases/src/command/control_command.ts
@@ -69,4 +69,13 @@
       readonly kind: 'removeTargets';
       readonly shard: ShardId;
       readonly targetIds: readonly TargetId[];
+    }
+  | {
+      /** Evacuates a data centre, or takes it back. */
+      readonly kind: 'setEvacuation';
+      readonly dataCentre: DataCentreId;
+      readonly isEvacuated: boolean;
+      /** Serial number of the order that this one replaces; 0 for none. */
+      readonly fromSerial: number;
+      readonly atMs: number;
     };
--- a/packages/releases/src/command/control_result.ts
+++ b/packages/releases/src/command/control_result.ts
@@ -29,4 +29,11 @@
       readonly kind: 'targets';
       /** Shards of the targets that the command named and that have one. */
       readonly shards: Readonly<Record<TargetId, ShardId>>;
+    }
+  | {
+      readonly kind: 'evacuation';
+      /** False if another order was made since the one that it replaces. */
+      readonly accepted: boolean;
+      /** Serial number of the order in force; 0 if there was none. */
+      readonly serial: number;
     };
--- a/packages/releases/src/control_state/control_state.ts
+++ b/packages/releases/src/control_state/control_state.ts
@@ -1,5 +1,6 @@
-import type {ShardId, TargetId} from '@papayarun/protocol';
+import type {DataCentreId, ShardId, TargetId} from '@papayarun/protocol';
 import type {AcceptedConfiguration} from '../configuration/accepted_configuration.js';
+import type {Evacuation} from '../evacuation/evacuation.js';
 import type {SchedulerGrant} from '../scheduler_grant/scheduler_grant.js';
 import type {ClaimView} from '../claim_view/claim_view.js';
 import type {NoteVerdict} from '../note/note_verdict.js';
@@ -39,4 +40,6 @@
   readonly targetShards: Readonly<Record<TargetId, ShardId>>;
   /** Highest fencing token that was ever granted. */
   readonly lastToken: number;
+  /** Latest order on the evacuation of each data centre that had one. */
+  readonly evacuations: Readonly<Record<DataCentreId, Evacuation>>;
 }
--- a/packages/releases/src/control_state/empty_control_state.ts
+++ b/packages/releases/src/control_state/empty_control_state.ts
@@ -12,4 +12,5 @@
   schedulers: {},
   targetShards: {},
   lastToken: 0,
+  evacuations: {},
 };
--- a/packages/releases/src/control_store/control_store.test.ts
+++ b/packages/releases/src/control_store/control_store.test.ts
@@ -34,6 +34,7 @@
       'grantScheduler',
       'assignTargets',
       'removeTargets',
+      'setEvacuation',
       'other',
     );
     const commands = fc.array(
@@ -57,6 +58,16 @@
     );
   });
 
+  // A snapshot that an earlier version wrote ended the reader of its evacuations.
+  it('reads a snapshot without evacuations as one that has none', () => {
+    const store = ControlStore.create();
+    const earlier = Object.entries(store.state).filter(
+      ([field]) => field !== 'evacuations',
+    );
+    store.restore(3, encodeMessage(Object.fromEntries(earlier)));
+    expect(store.state.evacuations).toEqual({});
+  });
+
   // All commands that a peer lacked were sent in one answer, too large for a frame.
   it('sends a peer that lacks many large commands an answer that fits into a frame, and the whole state', () => {
     const store = ControlStore.create();
--- a/packages/releases/src/index.ts
+++ b/packages/releases/src/index.ts
@@ -13,6 +13,8 @@
 export * from './control_store/control_store.js';
 export * from './entry/entry_name_pattern.js';
 export * from './entry/entry_schemas.js';
+export * from './evacuation/evacuation.js';
+export * from './is_evacuated/is_evacuated.js';
 export * from './note/fingerprint_of_note.js';
 export * from './note/note_problem.js';
 export * from './note/note_verdict.js';
