Start nothing on the targets of an evacuated data centre

While a data centre is being evacuated, its schedulers refuse jobs that have not begun; jobs that have begun may start further tasks for a grace period, after which nothing is started. Targets that are taken back are used by degrees, as they may be cold.

--- a/packages/scheduling/src/_test/target_simulation.ts
+++ b/packages/scheduling/src/_test/target_simulation.ts
@@ -9,6 +9,7 @@
 import {SeededRandom} from '@papayarun/protocol';
 import {EmulatedTarget, SilentLog, VirtualClock} from '@papayarun/test_kit';
 import {CrashEvidence} from '../crash_evidence/crash_evidence.js';
+import type {EvacuationPhase} from '../evacuation_phase/evacuation_phase.js';
 import {RunTimeEstimator} from '../run_time_estimator/run_time_estimator.js';
 import {Scheduler} from '../scheduler/scheduler.js';
 import type {HoldOrder} from '../target_port/hold_order.js';
@@ -84,6 +85,7 @@
   /** Holds that were sent to targets. */
   holds = 0;
   dataCentres = 1;
+  evacuationPhase: EvacuationPhase = {kind: 'inService'};
   /** Targets that the log assigns to another shard. */
   readonly moved = new Set<TargetId>();
   /** Starts on incarnations of targets that have been replaced. */
@@ -174,6 +176,7 @@
       estimator: RunTimeEstimator.create(),
       crashes: this.crashEvidence(),
       shardCount: () => this.dataCentres,
+      evacuationPhase: () => this.evacuationPhase,
       ownsTarget: targetId => this.moved.has(targetId) === ownsMoved,
       isFormerActive: () => isFormerActive,
       loopLagMs: () => 0,
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -34,6 +34,7 @@
 import {admitJob} from '../admit_job/admit_job.js';
 import type {Admission} from '../admit_job/admission.js';
 import {chooseTarget} from '../choose_target/choose_target.js';
+import type {EvacuationPhase} from '../evacuation_phase/evacuation_phase.js';
 import {expectedEnds} from '../expected_ends/expected_ends.js';
 import {isStraggler} from '../is_straggler/is_straggler.js';
 import type {LongRun} from '../is_straggler/long_run.js';
@@ -42,6 +43,7 @@
 import {unreservedSlots} from '../reserved_slots/unreserved_slots.js';
 import {MIN_LEASE_SHARE} from '../run_permission/min_lease_share.js';
 import {LoadMeter} from '../load_meter/load_meter.js';
+import {returnedTargets} from '../returned_targets/returned_targets.js';
 import {runPermissionEndMs} from '../run_permission/run_permission_end_ms.js';
 import type {RunTimeEstimator} from '../run_time_estimator/run_time_estimator.js';
 import type {RunEnd} from '../target_port/run_end.js';
@@ -141,6 +143,8 @@
   private isOtherRunCheckDue = false;
   /** Whether a target gets no new run until those that wait for one are heard. */
   private isLeaseShort = false;
+  /** Phase of the last round of placement. */
+  private placedInPhase: EvacuationPhase['kind'] = 'inService';
 
   private readonly estimator: RunTimeEstimator;
 
@@ -360,6 +364,12 @@
       return Promise.resolve({kind: 'failed', reason: 'targetLost'});
     }
     this.markOrphansClaimed(record);
+    if (!mayHaveRun(record) && !this.mayBegin(job.isPromised)) {
+      const outcome = refusal('evacuated');
+      record.isConcluded = true;
+      this.reportOutcome(record, outcome);
+      return Promise.resolve(outcome);
+    }
     if (!mayHaveRun(record) && !job.isPromised) {
       const admission = this.decideAdmission(record, slots, nowMs);
       if (admission.kind === 'refused') {
@@ -410,7 +420,7 @@
    * @returns The quote; an empty one without a grant.
    */
   quote(job: ScheduledJob): JobQuote {
-    if (!this.host || this.hasNoRoomFor(job)) {
+    if (!this.host || this.hasNoRoomFor(job) || !this.mayBegin(false)) {
       return EMPTY_QUOTE;
     }
     const nowMs = this.opts.clock.now();
@@ -449,6 +459,56 @@
     }
   }
 
+  /**
+   * Refuses the jobs that wait and of which nothing has begun, when the data centre
+   * is to be evacuated. Promised parts stay: other parts of their jobs may have begun.
+   */
+  refuseUnbegun(): void {
+    for (const record of [...this.waiting]) {
+      if (!record.job.isPromised && !mayHaveRun(record)) {
+        this.failJob(record, 'evacuated');
+      }
+    }
+  }
+
+  /** Whether more or fewer targets may be in use than in the last placement. */
+  private hasPhaseChanged(): boolean {
+    const {kind} = this.evacuationPhase;
+    return kind !== this.placedInPhase || kind === 'returning';
+  }
+
+  private get evacuationPhase(): EvacuationPhase {
+    return this.opts.evacuationPhase?.() ?? {kind: 'inService'};
+  }
+
+  /** Whether a job of which nothing has begun may begin here. */
+  private mayBegin(isPromised: boolean): boolean {
+    const phase = this.evacuationPhase;
+    switch (phase.kind) {
+      case 'inService':
+      case 'returning':
+        return true;
+      case 'leaving':
+        return isPromised;
+      case 'evacuated':
+        return false;
+      default:
+        return phase satisfies never;
+    }
+  }
+
+  /** Sessions with the targets that are in use. */
+  private sessionsInUse(): Iterable<TargetSession> {
+    const phase = this.evacuationPhase;
+    return phase.kind === 'returning'
+      ? returnedTargets(
+          this.sessions.values(),
+          session => session.report.targetId,
+          phase.share,
+        )
+      : this.sessions.values();
+  }
+
   /** Whether the records of a job's tasks would take too much memory. */
   private hasNoRoomFor({isPromised, steps}: ScheduledJob): boolean {
     return (
@@ -524,7 +584,7 @@
     const tasks = aheadMs.length + ownMs.length;
     const slotFreeMs = slotFreeTimes(
       job,
-      this.sessions.values(),
+      this.sessionsInUse(),
       nowMs,
       tasks,
       tasks + Math.ceil(reserved),
@@ -710,6 +770,11 @@
     if (!this.host || this.waiting.length === 0 || this.isNextRoundDue) {
       return;
     }
+    this.placedInPhase = this.evacuationPhase.kind;
+    if (this.placedInPhase === 'evacuated') {
+      this.failWaitingTasks();
+      return;
+    }
     const candidates = this.availableCandidates();
     const nowMs = this.opts.clock.now();
     this.waiting.sort((a, b) => compareWaitingJobs(a, b, nowMs));
@@ -751,6 +816,18 @@
     this.waiting = this.waiting.filter(hasUnplacedTask);
   }
 
+  /** Fails the jobs whose waiting tasks may not be started any more. */
+  private failWaitingTasks(): void {
+    for (const record of [...this.waiting]) {
+      this.resolveClaims(record);
+      this.resolveEarlierRuns(record);
+      if (record.tasks.some(({state}) => state === 'waiting')) {
+        this.failJob(record, 'evacuated');
+      }
+    }
+    this.waiting = this.waiting.filter(hasUnplacedTask);
+  }
+
   /** Places waiting tasks of a job, up to a number of them. */
   private placeTasks(
     record: JobRecord,
@@ -806,7 +883,7 @@
   private availableCandidates(): SessionCandidate[] {
     const candidates: SessionCandidate[] = [];
     this.isLeaseShort = false;
-    for (const session of this.sessions.values()) {
+    for (const session of this.sessionsInUse()) {
       session.updateClock();
       if (!session.mayStartRun) {
         this.isLeaseShort ||= session.isLeaseShort;
@@ -1168,9 +1245,7 @@
     const isRefusal = !mayHaveRun(record) && reason !== 'cancelledByCaller';
     this.concludeJob(
       record,
-      isRefusal
-        ? refusal(reason === 'cancelled' ? 'cancelled' : 'tooLate')
-        : {kind: 'failed', reason},
+      isRefusal ? refusal(refusalOf(reason)) : {kind: 'failed', reason},
     );
     for (const {run} of record.tasks) {
       void run?.session.stop(run);
@@ -1278,7 +1353,7 @@
       for (const session of [...this.sessions.values()]) {
         this.checkSession(session, nowMs);
       }
-      if (this.isLeaseShort) {
+      if (this.isLeaseShort || this.hasPhaseChanged()) {
         this.schedulePlacement();
       }
     }
@@ -1326,7 +1401,8 @@
       run.isOverdueChecked = true;
       void session.refreshRuns();
     }
-    if (run.state === 'running' && ranMs > usualMs) {
+    const mayRepeat = this.evacuationPhase.kind !== 'evacuated';
+    if (run.state === 'running' && ranMs > usualMs && mayRepeat) {
       const longRun = this.describeLongRun(task, run, nowMs, leftMs);
       if (isStraggler(longRun)) {
         this.stopStraggler(task, run, longRun);
@@ -1351,7 +1427,7 @@
       isRepeated: task.longestStoppedMs > 0,
       targetQuietMs: nowMs - Math.max(session.lastDoneMs, run.orderedMs),
       isTargetSuspect: session.health.kind !== 'sound',
-      hasRoomElsewhere: [...this.sessions.values()].some(
+      hasRoomElsewhere: [...this.sessionsInUse()].some(
         other =>
           other !== session &&
           other.isAvailable &&
@@ -1497,6 +1573,11 @@
   );
 }
 
+/** Why a job is refused of which nothing has run, and that would have failed. */
+function refusalOf(reason: JobFailure): JobRefusal {
+  return reason === 'cancelled' || reason === 'evacuated' ? reason : 'tooLate';
+}
+
 function refusal(reason: JobRefusal, quote = EMPTY_QUOTE): JobOutcome {
   return {kind: 'refused', reason, retryAfterMs: TAKEOVER_RETRY_MS, quote};
 }
--- a/packages/scheduling/src/scheduler/scheduler_options.ts
+++ b/packages/scheduling/src/scheduler/scheduler_options.ts
@@ -9,6 +9,7 @@
 } from '@papayarun/protocol';
 import type {RunTimeEstimator} from '../run_time_estimator/run_time_estimator.js';
 import type {TargetPort} from '../target_port/target_port.js';
+import type {EvacuationPhase} from '../evacuation_phase/evacuation_phase.js';
 import type {CrashEvidence} from '../crash_evidence/crash_evidence.js';
 import type {Forecast} from './forecast.js';
 import type {SchedulerTiming} from './scheduler_timing.js';
@@ -27,8 +28,13 @@
   readonly estimator: RunTimeEstimator;
   /** Tasks and kinds that crash their targets, shared like the run times. */
   readonly crashes: CrashEvidence;
-  /** Number of shards of all data centres, including this one. */
+  /** Number of shards in service in all data centres, including this one. */
   readonly shardCount: () => number;
+  /**
+   * What may be started on the targets of the data centre; absent where data
+   * centres are not evacuated.
+   */
+  readonly evacuationPhase?: () => EvacuationPhase;
   /** Whether the log assigns a target to the shard. */
   readonly ownsTarget: (targetId: TargetId) => boolean;
   /**
