Evacuate data centres on the order of an operator

Entries learn of it with the log: their schedulers refuse new jobs, which go to the schedulers of other data centres, also from the entries of the evacuated one. Without evacuationMs in the settings, nothing changes.

--- a/packages/daemon/src/cluster_node/cluster_node.ts
+++ b/packages/daemon/src/cluster_node/cluster_node.ts
@@ -112,7 +112,10 @@
       if (opts.cfg.role === 'state') {
         membership.sendHeartbeat();
       }
-      if (before.schedulers !== after.schedulers) {
+      if (
+        before.schedulers !== after.schedulers ||
+        before.evacuations !== after.evacuations
+      ) {
         discovery.updateLinks();
       }
     });
@@ -251,6 +254,7 @@
       leads: node().replica?.isLeader,
       inFlightIntervalMs: opts.inFlightIntervalMs?.(),
       registersJobs: opts.registersJobs,
+      appliesEvacuations: cfg.evacuationMs === undefined ? undefined : true,
     }),
     onHeartbeat: (from, heartbeat) =>
       void node().control.pullMissingState(from, heartbeat),
--- a/packages/daemon/src/cluster_node/node_settings.ts
+++ b/packages/daemon/src/cluster_node/node_settings.ts
@@ -17,4 +17,9 @@
   readonly heartbeatMs: number;
   readonly peerTimeoutMs: number;
   readonly electionTimeoutMs: number;
+  /**
+   * Time within which nothing is started any more in an evacuated data centre, in
+   * milliseconds; absent where evacuations are not enabled.
+   */
+  readonly evacuationMs?: number;
 }
--- a/packages/daemon/src/entry_instance/_test/entry_group.ts
+++ b/packages/daemon/src/entry_instance/_test/entry_group.ts
@@ -368,8 +368,11 @@
       }));
     const finder: Partial<SchedulerFinder> = {
       reachable,
+      reachableInService: reachable,
+      areAllEvacuated: () => false,
       // Without a scheduler of its own data centre, an entry takes another one.
-      localSchedulersIn: schedulers => {
+      firstChoices: () => {
+        const schedulers = reachable();
         const own = schedulers.filter(
           ({dataCentre}) => dataCentre === dataCentreOf(self),
         );
@@ -394,7 +397,11 @@
       targetClient: this.port(self),
       timing: TIMING,
       store: {
-        state: {schedulers: isGranted ? grants : {}, targetShards: {}},
+        state: {
+          schedulers: isGranted ? grants : {},
+          targetShards: {},
+          evacuations: {},
+        },
       } as unknown as LocalSchedulersOptions['store'],
       clock: this.clock,
       log: this.log,
--- a/packages/daemon/src/entry_instance/entry_instance.ts
+++ b/packages/daemon/src/entry_instance/entry_instance.ts
@@ -18,6 +18,7 @@
 import type {CancellationResult} from '../cancelled_jobs/cancellation_result.js';
 import {JobCancellations} from '../cancelled_jobs/job_cancellations.js';
 import {ClusterNode} from '../cluster_node/cluster_node.js';
+import {EvacuationTracker} from '../evacuations/evacuation_tracker.js';
 import {InterruptedJobs} from '../interrupted_jobs/interrupted_jobs.js';
 import {afterNextReading} from '../loop_lag/after_next_reading.js';
 import {afterReading} from '../loop_lag/after_reading.js';
@@ -65,17 +66,24 @@
   private keepAlives!: KeepAliveSender;
   private requesters!: RequesterMonitor;
   private readonly linkPolicy: LinkPolicy;
+  private readonly evacuations: EvacuationTracker;
   private queues: QueueTable | undefined;
   private configurationRevision: number | undefined;
-  private isConfigurationUpdateQueued = false;
+  private isControlUpdateQueued = false;
 
   private constructor(private readonly opts: EntryInstanceOptions) {
-    const {instanceId, dataCentre} = opts.cfg;
+    const {instanceId, dataCentre, evacuationMs} = opts.cfg;
+    this.evacuations = EvacuationTracker.create({
+      clock: opts.clock,
+      log: opts.log,
+      evacuationMs,
+    });
     this.schedulers = LocalSchedulers.create({
       ...opts,
       self: instanceId,
       dataCentre,
       store: this.store,
+      evacuationPhase: () => this.evacuations.phaseOf(dataCentre),
       loopLagMs: () => this.node.loopLag.lagMs,
       heardMs: requester => this.heardMs(requester),
       isHolderActive: grant => this.isHolderActive(grant),
@@ -129,6 +137,7 @@
     return {
       ...this.node.gauges(),
       ...this.schedulers.gauges(),
+      ...this.evacuations.gauges(),
       held_submissions: this.interrupted.heldSubmissions,
       all_jobs_held_ms: this.interrupted.allHeldMs,
       answered_copies: this.registrations.answeredCopies,
@@ -208,8 +217,7 @@
       store,
       state: () => this.state,
       maxTargets: opts.maxTargets,
-      shouldLink: (peer, state) =>
-        this.linkPolicy.shouldLink(peer, state.schedulers),
+      shouldLink: (peer, state) => this.linkPolicy.shouldLink(peer, state),
       onLinkUp: peer => {
         this.cancellations.tellMissed(peer);
         this.interrupted.recordLink(peer);
@@ -226,6 +234,7 @@
       membership,
       linkTo: id => this.node.discovery.linkTo(id),
       ownToken: shard => this.schedulers.token(shard),
+      isEvacuated: dataCentre => this.evacuations.isEvacuated(dataCentre),
     });
     this.interrupted = this.createInterruptedJobs();
     this.registrations = this.createRegistrations();
@@ -413,17 +422,27 @@
   }
 
   private applyControlState(state: ControlState): void {
-    if (!this.isConfigurationUpdateQueued) {
-      this.isConfigurationUpdateQueued = true;
-      // After a restart many revisions are applied in a row; only the last one
-      // has to take effect.
-      queueMicrotask(() => this.applyConfiguration());
+    if (!this.isControlUpdateQueued) {
+      this.isControlUpdateQueued = true;
+      // After a restart many commands are applied in a row; only the last
+      // configuration and the last evacuations have to take effect.
+      queueMicrotask(() => {
+        this.isControlUpdateQueued = false;
+        this.applyEvacuations();
+        this.applyConfiguration();
+      });
     }
     this.applyGrants(state);
   }
 
+  private applyEvacuations(): void {
+    const evacuated = this.evacuations.update(this.store.state);
+    if (evacuated.includes(this.opts.cfg.dataCentre)) {
+      this.schedulers.refuseUnbegun();
+    }
+  }
+
   private applyConfiguration(): void {
-    this.isConfigurationUpdateQueued = false;
     const {configuration} = this.store.state;
     if (
       !configuration ||
--- a/packages/daemon/src/entry_instance/job_submitter.test.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.test.ts
@@ -37,6 +37,7 @@
   quote: EMPTY_QUOTE,
 };
 const NEVER = new AbortController().signal;
+const EVACUATED: JobOutcome = {...NOT_STARTED, reason: 'evacuated'};
 /** Longest time for which runs of a lost scheduler go on. */
 const LEASE_MS = 1_070;
 
@@ -176,15 +177,21 @@
     });
   }
 
+  areAllEvacuated = false;
+
   private finder(): SchedulerFinder {
     const localScheduler = (): ShardScheduler =>
       schedulerOf('centro', this.localInstance);
     const finder: Partial<SchedulerFinder> = {
-      reachable: () => [
+      reachableInService: () => [
         localScheduler(),
         ...this.others.map(shard => schedulerOf(shard, REMOTE)),
       ],
-      localSchedulersIn: () => [localScheduler()],
+      firstChoices: refusing =>
+        refusing.size === 0
+          ? [localScheduler()]
+          : this.others.map(shard => schedulerOf(shard, REMOTE)),
+      areAllEvacuated: () => this.areAllEvacuated,
       isTakeoverRefusal: () => this.isTakingOver,
       recordGrantChange: () => undefined,
       waitForSuccessor: (_shard, _former, latestMs) => {
@@ -228,6 +235,31 @@
 }
 
 describe('JobSubmitter', () => {
+  // Its own data centre was evacuated, and it had not learned of it yet.
+  it('submits a job to another data centre when its own one is evacuated', async () => {
+    const fixture = new Fixture();
+    fixture.scheduleLocally = () => Promise.resolve(EVACUATED);
+    fixture.scheduleRemotely = () => Promise.resolve(COMPLETED);
+    expect(await fixture.submit(jobOf(4))).toEqual(COMPLETED);
+    expect(fixture.localJobs).toHaveLength(1);
+    expect(fixture.remoteJobs).toHaveLength(1);
+  });
+
+  it('refuses a job at once when all data centres are evacuated', async () => {
+    const fixture = new Fixture();
+    fixture.areAllEvacuated = true;
+    fixture.others = [];
+    fixture.isTakingOver = true;
+    const startedMs = fixture.clock.now();
+    expect(await fixture.submit(jobOf(4))).toMatchObject({
+      kind: 'refused',
+      reason: 'evacuated',
+    });
+    expect(fixture.clock.now()).toBe(startedMs);
+    expect(fixture.localJobs).toHaveLength(0);
+    expect(fixture.quoteRequests).toBe(0);
+  });
+
   it('requests no quotes when the local scheduler accepts the job', async () => {
     const fixture = new Fixture();
     expect(await fixture.submit(jobOf(4))).toEqual(COMPLETED);
--- a/packages/daemon/src/entry_instance/job_submitter.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.ts
@@ -1,5 +1,6 @@
 import {RetryBudget} from '@papayarun/dispatch';
 import type {
+  DataCentreId,
   InstanceId,
   JobId,
   JobOutcome,
@@ -76,6 +77,10 @@
   ...NO_SCHEDULER_REFUSAL,
   reason: 'cancelled',
 };
+const EVACUATED_REFUSAL: Extract<JobOutcome, {kind: 'refused'}> = {
+  ...NO_SCHEDULER_REFUSAL,
+  reason: 'evacuated',
+};
 /** Of an instance that reads no faster than its callers' deadlines pass. */
 const OVERLOADED_REFUSAL: Extract<JobOutcome, {kind: 'refused'}> = {
   ...NO_SCHEDULER_REFUSAL,
@@ -178,7 +183,7 @@
       return outcome;
     }
     const others = this.withinBudget(
-      selectQuoted(this.opts.finder.reachable(), scheduler),
+      selectQuoted(this.opts.finder.reachableInService(), scheduler),
     );
     const currentJob = this.withElapsedTime(job, startedMs);
     const quotes = [
@@ -212,11 +217,15 @@
   }> {
     const {clock, finder} = this.opts;
     const tried = new Set<ShardId>();
+    const evacuated = new Set<DataCentreId>();
     let scheduler: ShardScheduler | undefined;
     let refusal = NO_SCHEDULER_REFUSAL;
     for (;;) {
+      if (finder.areAllEvacuated()) {
+        return {scheduler: undefined, outcome: EVACUATED_REFUSAL};
+      }
       const next = finder
-        .localSchedulersIn(finder.reachable())
+        .firstChoices(evacuated)
         .find(({shard}) => !tried.has(shard));
       if (next) {
         scheduler = next;
@@ -227,6 +236,9 @@
         }
         refusal = outcome;
         tried.add(next.shard);
+        if (outcome.reason === 'evacuated') {
+          evacuated.add(next.dataCentre);
+        }
         if (outcome.reason === 'notScheduler') {
           // The grant has changed, but the change isn't applied here yet.
           finder.recordGrantChange();
@@ -641,5 +653,9 @@
 
 /** Whether a scheduler refused a job since it has nothing to run it on. */
 function hasNoTargets(reason: JobRefusal): boolean {
-  return reason === 'notScheduler' || reason === 'noTargets';
+  return (
+    reason === 'notScheduler' ||
+    reason === 'noTargets' ||
+    reason === 'evacuated'
+  );
 }
--- a/packages/daemon/src/entry_instance/link_policy.ts
+++ b/packages/daemon/src/entry_instance/link_policy.ts
@@ -6,12 +6,15 @@
 } from '@papayarun/protocol';
 import {dataCentreOfShard, rendezvousOrder} from '@papayarun/protocol';
 import type {ControlState} from '@papayarun/releases';
+import {isEvacuated} from '@papayarun/releases';
 
 /** Most shards of the own data centre whose schedulers are linked. */
 const MAX_OWN_SHARDS = 4;
 /** Most shards of each other data centre whose schedulers are linked. */
 const MAX_REMOTE_SHARDS = 1;
 
+type LinkedState = Pick<ControlState, 'schedulers' | 'evacuations'>;
+
 /**
  * Selects the peers to which an entry instance keeps a link.
  *
@@ -20,7 +23,7 @@
  * links and this number doesn't grow with the number of instances.
  */
 export class LinkPolicy {
-  private selectedFrom: ControlState['schedulers'] | undefined;
+  private selectedFrom: LinkedState | undefined;
   private selectedPeers: ReadonlySet<InstanceId> = new Set();
 
   private constructor(
@@ -45,21 +48,22 @@
    * Whether to keep a link to a peer.
    *
    * @param peer - The peer.
-   * @param schedulers - Grants in force by shard.
+   * @param state - Grants and evacuations in force.
    * @returns True if a link is wanted.
    */
-  shouldLink(
-    peer: KnownInstance,
-    schedulers: ControlState['schedulers'],
-  ): boolean {
-    if (this.selectedFrom !== schedulers) {
-      this.selectedFrom = schedulers;
-      this.selectedPeers = this.select(schedulers);
+  shouldLink(peer: KnownInstance, state: LinkedState): boolean {
+    if (
+      this.selectedFrom?.schedulers !== state.schedulers ||
+      this.selectedFrom.evacuations !== state.evacuations
+    ) {
+      this.selectedFrom = state;
+      this.selectedPeers = this.select(state);
     }
     return peer.role === 'state' || this.selectedPeers.has(peer.instanceId);
   }
 
-  private select(schedulers: ControlState['schedulers']): Set<InstanceId> {
+  private select(state: LinkedState): Set<InstanceId> {
+    const {schedulers} = state;
     const byDataCentre = new Map<DataCentreId, ShardId[]>();
     for (const shard of Object.keys(schedulers) as ShardId[]) {
       const dataCentre = dataCentreOfShard(shard);
@@ -67,10 +71,18 @@
       shards.push(shard);
       byDataCentre.set(dataCentre, shards);
     }
+    const inService = [...byDataCentre.keys()].filter(
+      dataCentre =>
+        dataCentre !== this.dataCentre && !isEvacuated(state, dataCentre),
+    );
+    // The jobs of an evacuated data centre all go to the others.
+    const maxRemoteShards = isEvacuated(state, this.dataCentre)
+      ? Math.ceil(MAX_OWN_SHARDS / Math.max(1, inService.length))
+      : MAX_REMOTE_SHARDS;
     const peers = new Set<InstanceId>();
     for (const [dataCentre, shards] of byDataCentre) {
-      const most =
-        dataCentre === this.dataCentre ? MAX_OWN_SHARDS : MAX_REMOTE_SHARDS;
+      const isOwn = dataCentre === this.dataCentre;
+      const most = isOwn ? MAX_OWN_SHARDS : maxRemoteShards;
       for (const shard of rendezvousOrder(this.self, shards).slice(0, most)) {
         peers.add(schedulers[shard]!.instanceId);
       }
--- a/packages/daemon/src/entry_instance/local_schedulers.test.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.test.ts
@@ -70,7 +70,9 @@
   private options(): LocalSchedulersOptions {
     const ignore = (): void => undefined;
     const grant = {instanceId: SELF, boot: BOOT, token: 1};
-    const store = {state: {schedulers: {[SHARD]: grant}, targetShards: {}}};
+    const store = {
+      state: {schedulers: {[SHARD]: grant}, targetShards: {}, evacuations: {}},
+    };
     return {
       self: SELF,
       dataCentre: 'centro' as DataCentreId,
--- a/packages/daemon/src/entry_instance/local_schedulers.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.ts
@@ -15,6 +15,7 @@
 } from '@papayarun/protocol';
 import {dataCentreOfShard, EMPTY_QUOTE} from '@papayarun/protocol';
 import type {ControlState, SchedulerGrant} from '@papayarun/releases';
+import {shardsInService} from '@papayarun/releases';
 import {
   CrashEvidence,
   jobKey,
@@ -329,6 +330,11 @@
     );
   }
 
+  /** Refuses the jobs that wait and have not begun, when they may begin no more. */
+  refuseUnbegun(): void {
+    this.schedulers.forEach(scheduler => scheduler.refuseUnbegun());
+  }
+
   /** Instances that wait for jobs and send something while they do. */
   keptAliveRequesters(): Set<InstanceId> {
     const requesters = new Set<InstanceId>();
@@ -462,7 +468,7 @@
         requesterHeardMs: jobId => this.requesterHeardMs(shard, jobId),
         otherRunsForMs: jobId => this.otherRunsForMs(shard, jobId),
         isFormerActive: () => this.isFormerActive(shard),
-        shardCount: () => Object.keys(store.state.schedulers).length,
+        shardCount: () => shardsInService(store.state).length,
         ownsTarget: targetId => {
           const assigned = store.state.targetShards[targetId];
           return assigned === undefined || assigned === shard;
--- a/packages/daemon/src/entry_instance/scheduler_finder.test.ts
+++ b/packages/daemon/src/entry_instance/scheduler_finder.test.ts
@@ -13,6 +13,7 @@
   clock: VirtualClock,
   store: Pick<ControlStore, 'state'> = ControlStore.create(),
   links: InstanceId[] = [],
+  evacuated: string[] = [],
 ): SchedulerFinder {
   const cfg: Partial<NodeSettings> = {
     instanceId: SELF,
@@ -27,6 +28,7 @@
     random: SeededRandom.create(1),
     linkTo: id => links.push(id),
     ownToken: () => undefined,
+    isEvacuated: dataCentre => evacuated.includes(dataCentre),
   });
 }
 
@@ -91,4 +93,34 @@
     await clock.advance(2_000);
     expect(endedMs).toBe(50);
   });
+
+  // Each job was submitted to the schedulers of the evacuated data centre first.
+  it('chooses the schedulers of the other data centres when its own is evacuated', () => {
+    const clock = VirtualClock.create();
+    const names = ['centro-2', 'serra-2', 'ribeira-2'];
+    const grants = names.map((name, n) => [
+      name.replace(/-.*/, ''),
+      {instanceId: name, boot: 'b', token: n + 1},
+    ]);
+    const schedulers = Object.fromEntries(grants) as Record<
+      string,
+      SchedulerGrant
+    >;
+    const store = {state: {...EMPTY_CONTROL_STATE, schedulers}};
+    const choicesWith = (evacuated: string[], refusing: string[]): string[] =>
+      finderAt(clock, store, names as InstanceId[], evacuated)
+        .firstChoices(new Set(refusing as DataCentreId[]))
+        .map(({dataCentre}) => dataCentre)
+        .sort();
+    expect(choicesWith([], [])).toEqual(['centro']);
+    expect(choicesWith(['centro'], [])).toEqual(['ribeira', 'serra']);
+    expect(choicesWith([], ['centro'])).toEqual(['ribeira', 'serra']);
+    expect(choicesWith(['serra'], ['centro'])).toEqual(['ribeira']);
+    expect(choicesWith(['centro', 'serra', 'ribeira'], [])).toEqual([]);
+    const finder = finderAt(clock, store, names as InstanceId[], ['centro']);
+    expect(finder.areAllEvacuated()).toBe(false);
+    const all = ['centro', 'serra', 'ribeira'];
+    expect(finderAt(clock, store, [], all).areAllEvacuated()).toBe(true);
+    expect(finderAt(clock).areAllEvacuated()).toBe(false);
+  });
 });
--- a/packages/daemon/src/entry_instance/scheduler_finder.ts
+++ b/packages/daemon/src/entry_instance/scheduler_finder.ts
@@ -1,4 +1,4 @@
-import type {JobRefusal, ShardId} from '@papayarun/protocol';
+import type {DataCentreId, JobRefusal, ShardId} from '@papayarun/protocol';
 import {dataCentreOfShard} from '@papayarun/protocol';
 import type {SchedulerGrant} from '@papayarun/releases';
 import type {SchedulerFinderOptions} from './scheduler_finder_options.js';
@@ -90,10 +90,37 @@
       .map(({scheduler}) => scheduler);
   }
 
-  /** Selects the schedulers of this data centre from a list of them. */
-  localSchedulersIn(schedulers: readonly ShardScheduler[]): ShardScheduler[] {
-    const {dataCentre} = this.opts.cfg;
-    return schedulers.filter(scheduler => scheduler.dataCentre === dataCentre);
+  /** Lists the reachable schedulers whose data centre is not evacuated. */
+  reachableInService(): ShardScheduler[] {
+    return this.reachable().filter(
+      ({dataCentre}) => !this.opts.isEvacuated(dataCentre),
+    );
+  }
+
+  /**
+   * Lists the reachable schedulers that a job is submitted to before others are
+   * asked for quotes: those of this data centre, or of all others if this one is
+   * evacuated.
+   *
+   * @param refusing - Data centres that have refused the job as evacuated, also if
+   *   their evacuation isn't known here yet.
+   */
+  firstChoices(refusing: ReadonlySet<DataCentreId>): ShardScheduler[] {
+    const {dataCentre: own} = this.opts.cfg;
+    const isOwnLeft = this.opts.isEvacuated(own) || refusing.has(own);
+    return this.reachableInService().filter(
+      ({dataCentre}) =>
+        !refusing.has(dataCentre) && (isOwnLeft || dataCentre === own),
+    );
+  }
+
+  /** Whether there are schedulers, all of them in evacuated data centres. */
+  areAllEvacuated(): boolean {
+    const shards = Object.keys(this.opts.store.state.schedulers) as ShardId[];
+    return (
+      shards.length > 0 &&
+      shards.every(shard => this.opts.isEvacuated(dataCentreOfShard(shard)))
+    );
   }
 
   /** Whether a refusal is due to a scheduler takeover that is in progress. */
--- a/packages/daemon/src/entry_instance/scheduler_finder_options.ts
+++ b/packages/daemon/src/entry_instance/scheduler_finder_options.ts
@@ -1,6 +1,7 @@
 import type {Membership} from '@papayarun/membership';
 import type {
   Clock,
+  DataCentreId,
   InstanceId,
   PeerNetwork,
   RandomSource,
@@ -23,4 +24,6 @@
   readonly linkTo: (instance: InstanceId) => void;
   /** Fencing token under which this instance schedules a shard, if it does. */
   readonly ownToken: (shard: ShardId) => number | undefined;
+  /** Whether an order to evacuate a data centre is known here. */
+  readonly isEvacuated: (dataCentre: DataCentreId) => boolean;
 }
--- a/packages/daemon/src/entry_instance/silent_requesters.test.ts
+++ b/packages/daemon/src/entry_instance/silent_requesters.test.ts
@@ -159,7 +159,9 @@
     const ignore = (): void => undefined;
     const self = `${dataCentre}-1:7720` as InstanceId;
     const grant = {instanceId: self, boot: BOOT, token: 1};
-    const store = {state: {schedulers: {[shard]: grant}, targetShards: {}}};
+    const store = {
+      state: {schedulers: {[shard]: grant}, targetShards: {}, evacuations: {}},
+    };
     const schedulers = LocalSchedulers.create({
       self,
       dataCentre: dataCentre as DataCentreId,
--- a/packages/daemon/src/state_instance/state_instance.ts
+++ b/packages/daemon/src/state_instance/state_instance.ts
@@ -1,5 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import type {
+  DataCentreId,
   Heartbeat,
   InstanceId,
   KnownInstance,
@@ -14,7 +15,10 @@
 import {CancellationRelay} from '../cancelled_jobs/cancellation_relay.js';
 import {ClusterNode} from '../cluster_node/cluster_node.js';
 import type {PeerDiscovery} from '../cluster_node/peer_discovery.js';
+import {EvacuationOrders} from '../evacuations/evacuation_orders.js';
+import {EvacuationTracker} from '../evacuations/evacuation_tracker.js';
 import {InterruptedJobRelay} from '../interrupted_jobs/interrupted_job_relay.js';
+import {afterNextReading} from '../loop_lag/after_next_reading.js';
 import {livePeersOf} from '../members/live_peers_of.js';
 import {JobRegistrar} from '../registered_jobs/job_registrar.js';
 import {formCluster} from '../form_cluster/form_cluster.js';
@@ -58,9 +62,17 @@
   private granter!: SchedulerGranter;
   private assigner!: TargetAssigner;
   private cancellations!: CancellationRelay;
+  private evacuationOrders!: EvacuationOrders;
+  private readonly evacuations: EvacuationTracker;
   targetDirectory!: TargetDirectory;
 
-  private constructor(private readonly opts: StateInstanceOptions) {}
+  private constructor(private readonly opts: StateInstanceOptions) {
+    this.evacuations = EvacuationTracker.create({
+      clock: opts.clock,
+      log: opts.log,
+      evacuationMs: opts.cfg.evacuationMs,
+    });
+  }
 
   /**
    * Opens the journal and starts to listen for peers.
@@ -135,6 +147,24 @@
     return this.store.state.configuration;
   }
 
+  /**
+   * Evacuates a data centre, or takes it back.
+   *
+   * @param dataCentre - The data centre.
+   * @param isEvacuated - Whether it is to be evacuated.
+   * @param signal - Aborts when the sender of the order disconnects.
+   * @returns Resolves when the order is in force and durable.
+   * @throws DispatchError `notRun` when it was not accepted, `mayHaveRun` when it is
+   *   unknown whether it was.
+   */
+  setEvacuation(
+    dataCentre: DataCentreId,
+    isEvacuated: boolean,
+    signal: AbortSignal,
+  ): Promise<void> {
+    return this.evacuationOrders.set(dataCentre, isEvacuated, signal);
+  }
+
   /**
    * Accepts a report from a target.
    *
@@ -149,6 +179,7 @@
   gauges(): Record<string, number> {
     return {
       ...this.node.gauges(),
+      ...this.evacuations.gauges(),
       leader: Number(this.replica.isLeader),
       leader_stalled_ms: this.replica.stalledMs,
       leader_stalls: this.replica.stalls,
@@ -235,6 +266,15 @@
       onAssigned: (targetId, shard) =>
         this.targetDirectory.handleAssigned(targetId, shard),
     });
+    this.evacuationOrders = EvacuationOrders.create({
+      clock: opts.clock,
+      log: opts.log,
+      store,
+      control: () => this.node.control,
+      livePeers: () => membership.livePeers(),
+      afterNextReading: () => afterNextReading(opts.clock),
+    });
+    store.onChange((_before, after) => this.evacuations.update(after));
     this.granter = SchedulerGranter.create({
       clock: opts.clock,
       log: opts.log,
--- a/packages/protocol/src/event_log/event_catalogue.ts
+++ b/packages/protocol/src/event_log/event_catalogue.ts
@@ -176,6 +176,21 @@
     level: 'info',
     text: 'replicated log could not be bootstrapped yet; the instance retries',
   },
+  evacuationDecided: {
+    number: 3021,
+    level: 'info',
+    text: 'operator ordered the evacuation of a data centre, or withdrew the order',
+  },
+  evacuationInForce: {
+    number: 3022,
+    level: 'info',
+    text: 'instance learned that a data centre is evacuated; its schedulers there start no new jobs',
+  },
+  evacuationWithdrawn: {
+    number: 3023,
+    level: 'info',
+    text: 'instance learned that a data centre is taken back; its targets are used by degrees',
+  },
   schedulerGranted: {
     number: 3014,
     level: 'info',
--- a/packages/releases/src/index.ts
+++ b/packages/releases/src/index.ts
@@ -22,3 +22,4 @@
 export * from './note/release_note.js';
 export * from './resolve_behaviours/resolve_behaviours.js';
 export * from './scheduler_grant/scheduler_grant.js';
+export * from './shards_in_service/shards_in_service.js';
