--- a/packages/daemon/src/evacuations/evacuation_orders.ts
+++ b/packages/daemon/src/evacuations/evacuation_orders.ts
@@ -97,7 +97,8 @@
       }
       const {accepted, serial} = result;
       log.emit('evacuationDecided', {
-        dataCentre,
+        // `dataCentre` is that of the instance in all events.
+        ordered: dataCentre,
         isEvacuated,
         accepted,
         changed: accepted && serial !== fromSerial,
--- a/packages/daemon/src/evacuations/evacuation_tracker.ts
+++ b/packages/daemon/src/evacuations/evacuation_tracker.ts
@@ -86,9 +86,9 @@
       if (isEvacuated) {
         evacuated.push(dataCentre);
         const ageMs = this.ageMs(atMs);
-        log.emit('evacuationInForce', {dataCentre, serial, ageMs});
+        log.emit('evacuationInForce', {evacuated: dataCentre, serial, ageMs});
       } else {
-        log.emit('evacuationWithdrawn', {dataCentre, serial});
+        log.emit('evacuationWithdrawn', {withdrawn: dataCentre, serial});
       }
     }
     return evacuated;
