Void an order to evacuate once it was withdrawn, also before it is committed

Operators saw a data centre evacuated after they had withdrawn the order: the order had waited for a leader at an instance that was cut off, and its withdrawal, which found nothing to change, left the serial number as it was.

--- a/packages/daemon/src/control_client/control_client.ts
+++ b/packages/daemon/src/control_client/control_client.ts
@@ -74,15 +74,20 @@
    * Commits a command through the replica that leads.
    *
    * @param command - The command.
+   * @param signal - Aborts when the command is no longer wanted; it may have been
+   *   sent to a leader by then.
    * @returns Result of the command; if this instance leads, it has applied the
    *   command too.
    * @throws DispatchError `notRun` when no leader is reachable or it refuses the
    *   command, since it could not be committed in time, `mayHaveRun`
    *   when a leader was lost that may have committed the command.
    */
-  async propose(command: ControlCommand): Promise<ControlResult> {
+  async propose(
+    command: ControlCommand,
+    signal?: AbortSignal,
+  ): Promise<ControlResult> {
     try {
-      const result = await this.commit(command);
+      const result = await this.commit(command, signal);
       this.opts.onProposalEnd?.('committed');
       return result;
     } catch (err) {
@@ -93,7 +98,10 @@
     }
   }
 
-  private async commit(command: ControlCommand): Promise<ControlResult> {
+  private async commit(
+    command: ControlCommand,
+    signal: AbortSignal | undefined,
+  ): Promise<ControlResult> {
     const bytes = encodeMessage(command);
     const {clock, leaderTimeoutMs} = this.opts;
     const startedMs = clock.now();
@@ -125,6 +133,12 @@
         );
       }
       await clock.sleep(RETRY_DELAY_MS);
+      if (signal?.aborted) {
+        throw DispatchError.notRun(
+          'cancelled',
+          'the sender of the command has left',
+        );
+      }
     }
   }
 
--- a/packages/daemon/src/evacuations/evacuation_orders.ts
+++ b/packages/daemon/src/evacuations/evacuation_orders.ts
@@ -82,13 +82,16 @@
       // proposes to replace an order that no longer is in force, and is rejected.
       const fromSerial = this.serialOf(dataCentre);
       await this.checkSenderWaits(signal);
-      const result = await control().propose({
-        kind: 'setEvacuation',
-        dataCentre,
-        isEvacuated,
-        fromSerial,
-        atMs: clock.wallNow(),
-      });
+      const result = await control().propose(
+        {
+          kind: 'setEvacuation',
+          dataCentre,
+          isEvacuated,
+          fromSerial,
+          atMs: clock.wallNow(),
+        },
+        signal,
+      );
       if (result.kind !== 'evacuation') {
         throw DispatchError.mayHaveRun(
           'internal',
@@ -101,7 +104,6 @@
         ordered: dataCentre,
         isEvacuated,
         accepted,
-        changed: accepted && serial !== fromSerial,
         serial,
       });
       if (accepted) {
