Break the import cycle of the scheduler's records

A session with a target knows of a run only what it orders. The scheduler extends that by the session, the task and the job, so that no record refers back to another that refers to it.

--- a/packages/scheduling/src/_lib/create_job_record.ts
+++ b/packages/scheduling/src/_lib/create_job_record.ts
@@ -66,7 +66,6 @@
       const taskId = `${job.id}.0.${n}.${step.firstIndex + i}` as TaskId;
       const previous = placed.get(taskId);
       record.tasks.push({
-        job: record,
         taskId,
         stepIndex: n,
         state: previous
--- a/packages/scheduling/src/_lib/placed_tasks.ts
+++ b/packages/scheduling/src/_lib/placed_tasks.ts
@@ -1,6 +1,6 @@
 import type {PlacedTask, TargetId, TaskId} from '@papayarun/protocol';
 import type {JobRecord} from './job_record.js';
-import type {RunRecord} from './run_record.js';
+import type {OrderedRun} from './ordered_run.js';
 
 /**
  * Placed tasks of a job, for the handover to the next scheduler.
@@ -15,7 +15,7 @@
  */
 export function placedTasks(
   record: JobRecord,
-  openRuns: ReadonlyMap<TaskId, RunRecord>,
+  openRuns: ReadonlyMap<TaskId, OrderedRun>,
 ): PlacedTask[] {
   return record.tasks.flatMap(task => {
     const run = task.run ?? openRuns.get(task.taskId);
--- a/packages/scheduling/src/_lib/run_record.ts
+++ b/packages/scheduling/src/_lib/run_record.ts
@@ -1,17 +1,16 @@
-import type {Resources} from '@papayarun/protocol';
-import type {TargetSession} from './target_session.js';
-import type {TaskRecord} from './task_record.js';
+import type {Resources, ScheduledJob, TaskId} from '@papayarun/protocol';
 
 /**
- * State of a run of a task that was ordered on a target.
+ * State of a run of a task that was ordered on a target, as the session with the
+ * target knows it.
  *
  * @description `uncertain`: the order to start was not answered, so the run may
  * or may not have begun.
  */
 export interface RunRecord {
-  readonly task: TaskRecord;
+  readonly taskId: TaskId;
+  readonly job: ScheduledJob;
   readonly runNumber: number;
-  readonly session: TargetSession;
   readonly needs: Resources;
   state: 'starting' | 'running' | 'uncertain' | 'stopping';
   /** Monotonic time of the order to start, in milliseconds. */
--- a/packages/scheduling/src/_lib/target_session.ts
+++ b/packages/scheduling/src/_lib/target_session.ts
@@ -67,9 +67,9 @@
  * that was sent before the restart was noticed may be with the new incarnation,
  * so only the runs that the earlier one has listed are lost at once.
  */
-export class TargetSession {
+export class TargetSession<R extends RunRecord = RunRecord> {
   private readonly clock = TargetClock.create();
-  readonly runs = new Map<TaskId, RunRecord>();
+  readonly runs = new Map<TaskId, R>();
   health: TargetHealth = {kind: 'sound'};
   slowness = 1;
   /** Whether the target has answered a hold under this scheduler's token. */
@@ -119,7 +119,7 @@
   private consecutiveFailures = 0;
 
   private constructor(
-    private readonly host: TargetSessionHost,
+    private readonly host: TargetSessionHost<R>,
     public report: TargetReport,
   ) {
     this.lastContactMs = host.clock.now();
@@ -136,7 +136,10 @@
    * @example
    * const session = TargetSession.create(host, report);
    */
-  static create(host: TargetSessionHost, report: TargetReport): TargetSession {
+  static create<R extends RunRecord>(
+    host: TargetSessionHost<R>,
+    report: TargetReport,
+  ): TargetSession<R> {
     const session = new TargetSession(host, report);
     void session.holdLoop();
     return session;
@@ -304,15 +307,15 @@
     this.closeRuns([...this.runs.values()], loss);
   }
 
-  private closeRuns(runs: readonly RunRecord[], loss: TargetLoss): void {
+  private closeRuns(runs: readonly R[], loss: TargetLoss): void {
     if (runs.length > 0) {
       this.host.log.emit('targetRunsLost', {
         target: this.report.targetId,
         loss,
         silentMs: this.silentMs(),
-        runs: runs.map(({task, runNumber}) => ({
-          taskId: task.taskId,
-          kind: task.job.job.kind,
+        runs: runs.map(({taskId, job, runNumber}) => ({
+          taskId,
+          kind: job.kind,
           run: runNumber,
         })),
       });
@@ -373,19 +376,19 @@
    *
    * @param run - The run, which has not been ordered yet.
    */
-  async start(run: RunRecord): Promise<void> {
-    this.runs.set(run.task.taskId, run);
+  async start(run: R): Promise<void> {
+    this.runs.set(run.taskId, run);
     this.wake();
     this.recordLease(run.leaseEndMs);
     const sent = this.sendTime();
     const res = await this.host.port.start(this.endpoint, {
-      taskId: run.task.taskId,
+      taskId: run.taskId,
       run: run.runNumber,
-      spec: run.task.job.job.spec,
+      spec: run.job.spec,
       token: this.host.token,
       leaseEndMs: run.leaseEndMs,
     });
-    if (this.isClosed || this.runs.get(run.task.taskId) !== run) {
+    if (this.isClosed || this.runs.get(run.taskId) !== run) {
       return;
     }
     switch (res.kind) {
@@ -400,7 +403,7 @@
       case 'unknown':
         run.state = run.state === 'starting' ? 'uncertain' : run.state;
         this.host.log.emit('orderUnanswered', {
-          taskId: run.task.taskId,
+          taskId: run.taskId,
           run: run.runNumber,
           target: this.report.targetId,
           reason: res.reason,
@@ -417,7 +420,7 @@
    *
    * @param run - A run that was ordered on this target.
    */
-  async stop(run: RunRecord): Promise<void> {
+  async stop(run: R): Promise<void> {
     if (run.state === 'stopping') {
       return;
     }
@@ -448,8 +451,8 @@
   }
 
   /** Adds a run that was taken over from an earlier scheduler. */
-  addRun(run: RunRecord): void {
-    this.runs.set(run.task.taskId, run);
+  addRun(run: R): void {
+    this.runs.set(run.taskId, run);
     this.wake();
   }
 
@@ -507,7 +510,7 @@
     let limitMs = Infinity;
     for (const run of this.runs.values()) {
       if (run.abandonedMs === undefined) {
-        const endMs = this.host.permissionEndMs(run.task.job.job.id);
+        const endMs = this.host.permissionEndMs(run.job.id);
         run.permittedUntilMs = Math.max(run.permittedUntilMs, endMs);
       }
       limitMs = Math.min(limitMs, run.permittedUntilMs);
@@ -711,7 +714,7 @@
     }
     this.isRefusing = reason === 'refused';
     if (this.isRefusing) {
-      this.host.onTargetRefusing(this);
+      this.host.onTargetRefusing(this.runs);
     }
     this.markSilent();
     return false;
@@ -789,7 +792,7 @@
     }
     const present = new Map(res.running.map(r => [r.taskId, r.run]));
     for (const run of [...this.runs.values()]) {
-      if (present.get(run.task.taskId) === run.runNumber) {
+      if (present.get(run.taskId) === run.runNumber) {
         this.confirmRun(run);
         run.isListed = true;
         run.mayBeLost = false;
@@ -823,7 +826,7 @@
       return;
     }
     if (end.how === 'done') {
-      this.host.onEarlierRunDone(this, end.taskId);
+      this.host.onEarlierRunDone(this.report.targetId, end.taskId);
     }
     if (!this.isConfirmed || wasOrphan || this.orphans.size > 0) {
       this.orphans.addEnd(end, this.host.clock.now());
@@ -879,7 +882,7 @@
     return orphanEndMs(run, host.timing);
   }
 
-  private handleStartRejection(run: RunRecord, reason: OrderRejection): void {
+  private handleStartRejection(run: R, reason: OrderRejection): void {
     switch (reason) {
       case 'fenced':
         this.host.onFenced(this);
@@ -912,8 +915,8 @@
    * Checks whether an unanswered start took effect, and stops the run if it is
    * not listed.
    */
-  private async resolveUncertainStart(run: RunRecord): Promise<void> {
-    const {taskId} = run.task;
+  private async resolveUncertainStart(run: R): Promise<void> {
+    const {taskId} = run;
     await this.hold(false);
     if (run.state !== 'uncertain' || this.runs.get(taskId) !== run) {
       return;
@@ -921,9 +924,9 @@
     await this.stopUntilEnded(run);
   }
 
-  private async stopUntilEnded(run: RunRecord): Promise<void> {
+  private async stopUntilEnded(run: R): Promise<void> {
     const {clock, port, timing, token} = this.host;
-    const {taskId} = run.task;
+    const {taskId} = run;
     const order = {taskId, run: run.runNumber, token};
     while (!this.isClosed && this.runs.get(taskId) === run) {
       const {restarts} = this;
@@ -965,15 +968,15 @@
   }
 
   /** Removes a run that has ended or can no longer exist. */
-  private closeRun(run: RunRecord, how: RunEnd): void {
-    if (this.runs.get(run.task.taskId) === run) {
-      this.runs.delete(run.task.taskId);
+  private closeRun(run: R, how: RunEnd): void {
+    if (this.runs.get(run.taskId) === run) {
+      this.runs.delete(run.taskId);
       this.host.onRunEnded(run, how);
     }
   }
 
   /** Removes a run that was stopped before its target could start it. */
-  private closeUnstartedRun(run: RunRecord): void {
+  private closeUnstartedRun(run: R): void {
     if (run.mayBeLost) {
       this.closeRun(run, 'targetCrashed');
     } else {
@@ -982,9 +985,9 @@
   }
 
   /** Removes a run whose order to start was certainly not carried out. */
-  private discardRun(run: RunRecord, reason: string): void {
-    if (this.runs.get(run.task.taskId) === run) {
-      this.runs.delete(run.task.taskId);
+  private discardRun(run: R, reason: string): void {
+    if (this.runs.get(run.taskId) === run) {
+      this.runs.delete(run.taskId);
       this.host.onRunNotStarted(run, reason);
     }
   }
--- a/packages/scheduling/src/_lib/target_session_host.ts
+++ b/packages/scheduling/src/_lib/target_session_host.ts
@@ -1,14 +1,20 @@
-import type {Clock, EventLog, JobId, TaskId} from '@papayarun/protocol';
+import type {
+  Clock,
+  EventLog,
+  JobId,
+  TargetId,
+  TaskId,
+} from '@papayarun/protocol';
 import type {SchedulerTiming} from '../scheduler/scheduler_timing.js';
 import type {RunEnd} from '../target_port/run_end.js';
 import type {TargetPort} from '../target_port/target_port.js';
+import type {FencedTarget} from './fenced_target.js';
 import type {RunRecord} from './run_record.js';
-import type {TargetSession} from './target_session.js';
 
 /**
  * Services and callbacks that a scheduler gives to its target sessions.
  */
-export interface TargetSessionHost {
+export interface TargetSessionHost<R extends RunRecord = RunRecord> {
   readonly port: TargetPort;
   readonly clock: Clock;
   readonly log: EventLog;
@@ -36,15 +42,15 @@
    */
   catchUp(): Promise<void> | undefined;
   /** Called when a run has ended or its lease has expired. */
-  onRunEnded(run: RunRecord, how: RunEnd): void;
+  onRunEnded(run: R, how: RunEnd): void;
   /** Called when a target lists a run as done that no longer counted as open. */
-  onEarlierRunDone(session: TargetSession, taskId: TaskId): void;
+  onEarlierRunDone(targetId: TargetId, taskId: TaskId): void;
   /** Called when an order to start was certainly not carried out. */
-  onRunNotStarted(run: RunRecord, reason: string): void;
-  /** Called when nothing listens at the address of a target. */
-  onTargetRefusing(session: TargetSession): void;
+  onRunNotStarted(run: R, reason: string): void;
+  /** Called with the runs of a target when nothing listens at its address. */
+  onTargetRefusing(runs: ReadonlyMap<TaskId, R>): void;
   /** Called when a target has seen a higher fencing token. */
-  onFenced(session: TargetSession): void;
+  onFenced(session: FencedTarget<R>): void;
   /**
    * Called when the free capacity or the availability of a target has changed.
    */
--- a/packages/scheduling/src/_lib/task_record.ts
+++ b/packages/scheduling/src/_lib/task_record.ts
@@ -1,6 +1,5 @@
 import type {TargetId, TaskId} from '@papayarun/protocol';
-import type {JobRecord} from './job_record.js';
-import type {RunRecord} from './run_record.js';
+import type {OrderedRun} from './ordered_run.js';
 
 /**
  * State of a task at its scheduler.
@@ -10,7 +9,6 @@
  * runs.
  */
 export interface TaskRecord {
-  readonly job: JobRecord;
   readonly taskId: TaskId;
   readonly stepIndex: number;
   state: 'blocked' | 'waiting' | 'claimed' | 'placed' | 'done';
@@ -20,7 +18,7 @@
   failures: number;
   /** Number of the next run. */
   nextRunNumber: number;
-  run: RunRecord | undefined;
+  run: OrderedRun | undefined;
   /** Longest time after which a run was stopped, in milliseconds; 0 if none. */
   longestStoppedMs: number;
   /** Targets that are not used again, since a run did not complete there. */
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -15,7 +15,9 @@
 import {EMPTY_QUOTE, fitsIn} from '@papayarun/protocol';
 import type {JobRecord} from '../_lib/job_record.js';
 import type {TargetSessionHost} from '../_lib/target_session_host.js';
-import type {RunRecord} from '../_lib/run_record.js';
+import type {FencedTarget} from '../_lib/fenced_target.js';
+import type {OrderedRun} from '../_lib/ordered_run.js';
+import type {PlacedRun} from '../_lib/placed_run.js';
 import type {TaskRecord} from '../_lib/task_record.js';
 import {createJobRecord} from '../_lib/create_job_record.js';
 import {hasUnplacedTask} from '../_lib/has_unplaced_task.js';
@@ -119,14 +121,14 @@
 export class Scheduler {
   private readonly loadMeter = LoadMeter.create();
   private readonly jobs = new Map<string, JobRecord>();
-  private readonly sessions = new Map<TargetId, TargetSession>();
+  private readonly sessions = new Map<TargetId, TargetSession<PlacedRun>>();
   private readonly departedTargets = DepartedTargets.create();
   private readonly doneTasks: DoneTasks;
   /** Latest run of each task that is not known to have ended. */
-  private readonly openRuns = new Map<TaskId, RunRecord>();
+  private readonly openRuns = new Map<TaskId, PlacedRun>();
   /** Jobs with unplaced tasks; sorted before each round of placement. */
   private waiting: JobRecord[] = [];
-  private host: TargetSessionHost | undefined;
+  private host: TargetSessionHost<PlacedRun> | undefined;
   private endController = new AbortController();
   private readonly watchSleeper: Sleeper;
   private sequence = 0;
@@ -226,9 +228,9 @@
       catchUp: () => this.opts.catchUp?.(),
       onRunEnded: (run, how) => this.handleRunEnded(run, how),
       onRunNotStarted: (run, reason) => this.handleRunNotStarted(run, reason),
-      onEarlierRunDone: (session, taskId) =>
-        this.handleEarlierRunDone(session, taskId),
-      onTargetRefusing: session => this.handleRefusing(session),
+      onEarlierRunDone: (targetId, taskId) =>
+        this.handleEarlierRunDone(targetId, taskId),
+      onTargetRefusing: runs => this.handleRefusing(runs),
       onFenced: session => this.handleFenced(session, token),
       onChange: () => this.schedulePlacement(),
     };
@@ -498,7 +500,7 @@
   }
 
   /** Sessions with the targets that are in use. */
-  private sessionsInUse(): Iterable<TargetSession> {
+  private sessionsInUse(): Iterable<TargetSession<PlacedRun>> {
     const phase = this.evacuationPhase;
     return phase.kind === 'returning'
       ? returnedTargets(
@@ -693,7 +695,7 @@
       const found = session.adopt(task.taskId);
       switch (found?.kind) {
         case 'running': {
-          const run = this.createRun(task, session, found.run, true);
+          const run = this.createRun(record, task, session, found.run, true);
           run.state = 'running';
           run.confirmedMs = run.orderedMs;
           task.nextRunNumber = Math.max(task.nextRunNumber, found.run + 1);
@@ -835,8 +837,8 @@
     maxCount: number,
     mayPlace: () => boolean,
     onPlaced: () => void,
-  ): RunRecord[] {
-    const placed: RunRecord[] = [];
+  ): PlacedRun[] {
+    const placed: PlacedRun[] = [];
     /** Steps of which a task has found no target in this round. */
     const fullSteps = new Set<number>();
     for (const task of record.tasks) {
@@ -851,7 +853,7 @@
       if (fullSteps.has(stepIndex) && !isSuspect) {
         continue;
       }
-      const run = this.placeTask(task, candidates);
+      const run = this.placeTask(record, task, candidates);
       if (run) {
         placed.push(run);
         onPlaced();
@@ -896,7 +898,7 @@
           isSuspect: session.health.kind === 'suspect',
           runs: session.runs.size,
           isExclusive: [...session.runs.values()].some(run =>
-            this.opts.crashes.isSuspect(run.task.taskId),
+            this.opts.crashes.isSuspect(run.taskId),
           ),
         });
       }
@@ -913,38 +915,59 @@
     if (!crashes.hasSuspects(clock.now())) {
       return;
     }
-    const suspect = this.waiting
-      .flatMap(record => record.tasks)
-      .find(task => task.state === 'waiting' && crashes.isSuspect(task.taskId));
+    const suspect = this.findWaiting(({taskId}) => crashes.isSuspect(taskId));
     if (!suspect) {
       return;
     }
+    const {record, task} = suspect;
     const [emptiest] = candidates
-      .filter(({session}) => isAllowed(suspect, session))
+      .filter(({session}) => isAllowed(record, task, session))
       .sort((a, b) => a.runs - b.runs);
     if (emptiest && emptiest.runs > 0) {
       emptiest.isExclusive = true;
     }
   }
 
+  /** First waiting task that meets a condition, with its job. */
+  private findWaiting(
+    isMet: (task: TaskRecord) => boolean,
+  ): {readonly record: JobRecord; readonly task: TaskRecord} | undefined {
+    for (const record of this.waiting) {
+      for (const task of record.tasks) {
+        if (task.state === 'waiting' && isMet(task)) {
+          return {record, task};
+        }
+      }
+    }
+    return undefined;
+  }
+
   /** Orders a task on a target; undefined if it fits on none. */
   private placeTask(
+    record: JobRecord,
     task: TaskRecord,
     candidates: SessionCandidate[],
-  ): RunRecord | undefined {
-    const {needs} = task.job.job.steps[task.stepIndex]!;
+  ): PlacedRun | undefined {
+    const {needs} = record.job.steps[task.stepIndex]!;
     // A suspect runs alone, so that another crash takes no other task along.
     const isSuspect = this.opts.crashes.isSuspect(task.taskId);
     const usable = candidates.filter(
       ({session, runs, isExclusive}) =>
-        isAllowed(task, session) && (isSuspect ? runs === 0 : !isExclusive),
+        isAllowed(record, task, session) &&
+        (isSuspect ? runs === 0 : !isExclusive),
     );
     const chosen = chooseTarget(usable, needs);
     if (!chosen) {
       return undefined;
     }
     const {session} = chosen;
-    const run = this.createRun(task, session, task.nextRunNumber++, false);
+    const run = this.createRun(
+      record,
+      task,
+      session,
+      task.nextRunNumber++,
+      false,
+    );
     task.state = 'placed';
     task.run = run;
     void session.start(run);
@@ -957,7 +980,7 @@
   /** Logs the targets that tasks of a job were placed on in one round. */
   private logPlaced(
     record: JobRecord,
-    placed: readonly RunRecord[],
+    placed: readonly PlacedRun[],
     nowMs: number,
   ): void {
     if (placed.length > 0 && this.opts.log.decisionsEnabled) {
@@ -965,8 +988,8 @@
         jobId: record.job.id,
         requester: record.requester,
         waitedMs: Math.round(nowMs - record.receivedMs),
-        runs: placed.map(({task, runNumber, session}) => ({
-          taskId: task.taskId,
+        runs: placed.map(({taskId, runNumber, session}) => ({
+          taskId,
           run: runNumber,
           target: session.report.targetId,
           slowness: Number(session.slowness.toFixed(2)),
@@ -976,21 +999,26 @@
   }
 
   private createRun(
+    record: JobRecord,
     task: TaskRecord,
-    session: TargetSession,
-    run: number,
+    session: TargetSession<PlacedRun>,
+    runNumber: number,
     isAdopted: boolean,
-  ): RunRecord {
-    const permittedUntilMs = this.permissionEndMs(task.job.job.id);
-    const record: RunRecord = {
+  ): PlacedRun {
+    const {job} = record;
+    const permittedUntilMs = this.permissionEndMs(job.id);
+    const run: PlacedRun = {
+      taskId: task.taskId,
+      job,
+      record,
       task,
-      runNumber: run,
+      runNumber,
       session,
-      needs: task.job.job.steps[task.stepIndex]!.needs,
+      needs: job.steps[task.stepIndex]!.needs,
       state: 'starting',
       orderedMs: this.opts.clock.now(),
       confirmedMs: undefined,
-      expectedMs: task.job.expectedMs[task.stepIndex]! * session.slowness,
+      expectedMs: record.expectedMs[task.stepIndex]! * session.slowness,
       leaseEndMs: session.newLeaseEndMs(permittedUntilMs),
       permittedUntilMs,
       isListed: isAdopted,
@@ -1000,8 +1028,8 @@
       isCrashRecorded: false,
       abandonedMs: undefined,
     };
-    this.openRuns.set(task.taskId, record);
-    return record;
+    this.openRuns.set(task.taskId, run);
+    return run;
   }
 
   /** Time by which the lease of a job's runs has to end, by what is known now. */
@@ -1022,27 +1050,27 @@
     return record.tasks.some(({taskId}) => this.openRuns.has(taskId));
   }
 
-  private removeOpenRun(run: RunRecord): void {
+  private removeOpenRun(run: PlacedRun): void {
     this.removeAbandonedRun(run);
-    if (this.openRuns.get(run.task.taskId) === run) {
-      this.openRuns.delete(run.task.taskId);
+    if (this.openRuns.get(run.taskId) === run) {
+      this.openRuns.delete(run.taskId);
     }
   }
 
-  private handleRunEnded(run: RunRecord, how: RunEnd): void {
-    const {task, session} = run;
+  private handleRunEnded(run: PlacedRun, how: RunEnd): void {
+    const {record, task, session} = run;
     this.removeOpenRun(run);
-    task.job.hasStarted = true;
+    record.hasStarted = true;
     if (how === 'done') {
       session.lastDoneMs = this.opts.clock.now();
-      this.doneTasks.add(task.job.job.id, task.taskId);
+      this.doneTasks.add(run.job.id, task.taskId);
     }
     const ranMs = this.opts.clock.now() - (run.confirmedMs ?? run.orderedMs);
     if (how === 'done' && run.abandonedMs === undefined && !run.isAdopted) {
-      const {job, expectedMs, samples} = task.job;
+      const {job, expectedMs, samples} = record;
       const declaredMs = job.steps[task.stepIndex]!.estimateMs;
       const sample = {declaredMs, ranMs: ranMs / session.slowness};
-      const {longestRunMs} = task.job;
+      const {longestRunMs} = record;
       longestRunMs[task.stepIndex] = Math.max(
         longestRunMs[task.stepIndex]!,
         ranMs,
@@ -1065,34 +1093,34 @@
       this.logAbandonedRun(run, how, run.abandonedMs);
       return;
     }
-    if (task.run !== run || task.job.isConcluded) {
+    if (task.run !== run || record.isConcluded) {
       return;
     }
     task.run = undefined;
     if (how === 'done') {
       task.state = 'done';
-      this.unblockSteps(task.job);
-      this.completeIfDone(task.job);
+      this.unblockSteps(record);
+      this.completeIfDone(record);
       return;
     }
-    if (how === 'failed' && ++task.failures >= task.job.job.maxAttempts) {
-      this.failJob(task.job, 'taskFailed');
+    if (how === 'failed' && ++task.failures >= run.job.maxAttempts) {
+      this.failJob(record, 'taskFailed');
       return;
     }
     const crashFailure =
-      how === 'targetCrashed' ? this.crashFailure(task) : undefined;
+      how === 'targetCrashed' ? this.crashFailure(run) : undefined;
     if (crashFailure) {
-      this.failJob(task.job, crashFailure);
+      this.failJob(record, crashFailure);
       return;
     }
-    this.retryTask(task, run, how);
+    this.retryTask(run, how);
   }
 
   /**
    * Records a run that counted as lapsed, and was done before its lease expired;
    * its target could not tell. A task that still waits is not started again.
    */
-  private handleEarlierRunDone(session: TargetSession, taskId: TaskId): void {
+  private handleEarlierRunDone(target: TargetId, taskId: TaskId): void {
     for (const {job, tasks} of this.jobs.values()) {
       const task = taskId.startsWith(job.id)
         ? tasks.find(other => other.taskId === taskId)
@@ -1101,7 +1129,7 @@
         this.doneTasks.add(job.id, taskId);
         this.opts.log.emit('taskAdopted', {
           taskId,
-          target: session.report.targetId,
+          target,
           state: 'done',
         });
         this.schedulePlacement();
@@ -1110,12 +1138,12 @@
   }
 
   private logAbandonedRun(
-    run: RunRecord,
+    run: PlacedRun,
     how: RunEnd,
     abandonedMs: number,
   ): void {
     this.opts.log.emit('abandonedRunEnded', {
-      taskId: run.task.taskId,
+      taskId: run.taskId,
       run: run.runNumber,
       target: run.session.report.targetId,
       how,
@@ -1127,58 +1155,59 @@
    * Counts the crash of a target under its runs as soon as nothing listens there,
    * while they may be started elsewhere only after their lease.
    */
-  private handleRefusing(session: TargetSession): void {
-    for (const run of [...session.runs.values()]) {
+  private handleRefusing(runs: ReadonlyMap<TaskId, PlacedRun>): void {
+    for (const run of [...runs.values()]) {
       this.recordCrash(run);
-      const {task} = run;
-      const failure = run.isCrashRecorded ? this.crashFailure(task) : undefined;
-      if (failure && !task.job.isConcluded) {
-        this.failJob(task.job, failure);
+      const {record} = run;
+      const failure = run.isCrashRecorded ? this.crashFailure(run) : undefined;
+      if (failure && !record.isConcluded) {
+        this.failJob(record, failure);
       }
     }
   }
 
   /** Why a task whose target has crashed isn't started again, if it isn't. */
-  private crashFailure({taskId, job}: TaskRecord): JobFailure | undefined {
+  private crashFailure({taskId, job}: PlacedRun): JobFailure | undefined {
     const {crashes, clock} = this.opts;
     if (crashes.isGivenUp(taskId)) {
       return 'targetLost';
     }
-    return crashes.isKindSuspect(job.job.kind, clock.now())
+    return crashes.isKindSuspect(job.kind, clock.now())
       ? 'kindSuspected'
       : undefined;
   }
 
-  private recordCrash(run: RunRecord): void {
+  private recordCrash(run: PlacedRun): void {
     // An order that is still on its way may find the target gone already.
     const mayHaveBegun =
       run.confirmedMs !== undefined || run.state === 'uncertain';
     if (mayHaveBegun && !run.isCrashRecorded) {
       run.isCrashRecorded = true;
-      const {job, taskId} = run.task;
+      const {job, taskId} = run;
       const nowMs = this.opts.clock.now();
-      this.opts.crashes.recordCrash(job.job.kind, taskId, nowMs);
+      this.opts.crashes.recordCrash(job.kind, taskId, nowMs);
     }
   }
 
-  private handleRunNotStarted(run: RunRecord, reason: string): void {
-    const {task} = run;
+  private handleRunNotStarted(run: PlacedRun, reason: string): void {
+    const {record, task} = run;
     this.removeOpenRun(run);
     this.schedulePlacement();
     if (
       run.abandonedMs !== undefined ||
       task.run !== run ||
-      task.job.isConcluded
+      record.isConcluded
     ) {
       return;
     }
     task.run = undefined;
-    this.retryTask(task, run, reason);
+    this.retryTask(run, reason);
   }
 
   /** Returns a task to waiting, or fails its job if too little time is left. */
-  private retryTask(task: TaskRecord, run: RunRecord, reason: string): void {
-    const {job: record, stepIndex} = task;
+  private retryTask(run: PlacedRun, reason: string): void {
+    const {record, task} = run;
+    const {stepIndex} = task;
     const target = run.session.report.targetId;
     const leftMs = record.callerDeadlineAtMs - this.opts.clock.now();
     this.opts.log.emit('taskRetried', {
@@ -1289,8 +1318,8 @@
     );
   }
 
-  private removeAbandonedRun(run: RunRecord): void {
-    const {abandonedRuns, resolveAbandoned} = run.task.job;
+  private removeAbandonedRun(run: PlacedRun): void {
+    const {abandonedRuns, resolveAbandoned} = run.record;
     if (abandonedRuns.delete(run) && abandonedRuns.size === 0) {
       resolveAbandoned?.();
     }
@@ -1321,7 +1350,7 @@
     );
   }
 
-  private handleFenced(session: TargetSession, token: number): void {
+  private handleFenced(session: FencedTarget<PlacedRun>, token: number): void {
     if (this.host?.token !== token) {
       return;
     }
@@ -1382,19 +1411,20 @@
       ) {
         this.failJob(record, 'deadline');
       } else if (task.run) {
-        this.checkRun(task, task.run, nowMs, leftMs);
+        this.checkRun(record, task, task.run, nowMs, leftMs);
       }
     }
   }
 
   private checkRun(
+    record: JobRecord,
     task: TaskRecord,
-    run: RunRecord,
+    run: OrderedRun,
     nowMs: number,
     leftMs: number,
   ): void {
     const {session} = run;
-    const usualMs = task.job.expectedMs[task.stepIndex]!;
+    const usualMs = record.expectedMs[task.stepIndex]!;
     const ranMs = nowMs - run.orderedMs;
     if (!run.isOverdueChecked && isOverdue(run, nowMs)) {
       // The answer that listed the end of the run may have been lost.
@@ -1403,7 +1433,7 @@
     }
     const mayRepeat = this.evacuationPhase.kind !== 'evacuated';
     if (run.state === 'running' && ranMs > usualMs && mayRepeat) {
-      const longRun = this.describeLongRun(task, run, nowMs, leftMs);
+      const longRun = this.describeLongRun(record, task, run, nowMs, leftMs);
       if (isStraggler(longRun)) {
         this.stopStraggler(task, run, longRun);
       }
@@ -1411,19 +1441,21 @@
   }
 
   private describeLongRun(
+    record: JobRecord,
     task: TaskRecord,
-    run: RunRecord,
+    run: OrderedRun,
     nowMs: number,
     leftMs: number,
   ): LongRun {
-    const {job, stepIndex} = task;
+    const {job, expectedMs, longestRunMs} = record;
+    const {stepIndex} = task;
     const {session} = run;
-    const {needs} = job.job.steps[stepIndex]!;
+    const {needs} = job.steps[stepIndex]!;
     return {
       ranMs: nowMs - run.orderedMs,
-      expectedMs: job.expectedMs[stepIndex]!,
-      isExpectationReliable: this.estimator.hasEnoughSamples(job.job.kind),
-      knownNeedMs: job.longestRunMs[stepIndex]!,
+      expectedMs: expectedMs[stepIndex]!,
+      isExpectationReliable: this.estimator.hasEnoughSamples(job.kind),
+      knownNeedMs: longestRunMs[stepIndex]!,
       isRepeated: task.longestStoppedMs > 0,
       targetQuietMs: nowMs - Math.max(session.lastDoneMs, run.orderedMs),
       isTargetSuspect: session.health.kind !== 'sound',
@@ -1431,7 +1463,7 @@
         other =>
           other !== session &&
           other.isAvailable &&
-          isAllowed(task, other) &&
+          isAllowed(record, task, other) &&
           fitsIn(needs, other.freeResources()),
       ),
       leftMs,
@@ -1440,7 +1472,7 @@
 
   private stopStraggler(
     task: TaskRecord,
-    run: RunRecord,
+    run: OrderedRun,
     longRun: LongRun,
   ): void {
     const {session} = run;
@@ -1464,7 +1496,7 @@
     void session.stop(run);
   }
 
-  private checkSession(session: TargetSession, nowMs: number): void {
+  private checkSession(session: TargetSession<PlacedRun>, nowMs: number): void {
     session.updateHealth();
     const isExpired = nowMs - session.lastContactMs > TARGET_EXPIRY_MS;
     if (session.runs.size > 0) {
@@ -1491,18 +1523,21 @@
   }
 
   /** Gives up a target that the scheduler of another shard has taken over. */
-  private abandonTarget(session: TargetSession): void {
-    const jobs = new Set([...session.runs.values()].map(run => run.task.job));
+  private abandonTarget(session: FencedTarget<PlacedRun>): void {
+    const jobs = new Set([...session.runs.values()].map(run => run.record));
     for (const job of jobs) {
       this.failJob(job, 'schedulerLost');
     }
-    if (this.sessions.get(session.report.targetId) === session) {
-      this.removeSession(session, 'moved');
+    const current = this.sessions.get(session.report.targetId);
+    if (current && current === session) {
+      this.removeSession(current, 'moved');
     }
   }
 
   /** Forgets the runs of a removed session when their lease has ended. */
-  private async removeLostRuns(session: TargetSession): Promise<void> {
+  private async removeLostRuns(
+    session: TargetSession<PlacedRun>,
+  ): Promise<void> {
     const {clock} = this.opts;
     const leftMs = Math.max(0, session.latestRunEndMs - clock.now());
     await clock.sleep(leftMs, this.endController.signal);
@@ -1510,7 +1545,10 @@
     this.schedulePlacement();
   }
 
-  private removeSession(session: TargetSession, reason: string): void {
+  private removeSession(
+    session: TargetSession<PlacedRun>,
+    reason: string,
+  ): void {
     session.close();
     if (session.runs.size > 0) {
       void this.removeLostRuns(session);
@@ -1522,7 +1560,7 @@
 
 /** Target session as a candidate for a task. */
 interface SessionCandidate {
-  readonly session: TargetSession;
+  readonly session: TargetSession<PlacedRun>;
   readonly targetId: TargetId;
   free: ReturnType<TargetSession['freeResources']>;
   readonly slowness: number;
@@ -1555,13 +1593,17 @@
 }
 
 /** Whether a run has taken clearly longer than expected on its target. */
-function isOverdue(run: RunRecord, nowMs: number): boolean {
+function isOverdue(run: OrderedRun, nowMs: number): boolean {
   const ranMs = nowMs - run.orderedMs;
   return ranMs > OVERDUE_FACTOR * run.expectedMs + OVERDUE_SLACK_MS;
 }
 
-function isAllowed(task: TaskRecord, session: TargetSession): boolean {
-  const {job} = task.job;
+function isAllowed(
+  record: JobRecord,
+  task: TaskRecord,
+  session: TargetSession,
+): boolean {
+  const {job} = record;
   const step = job.steps[task.stepIndex]!;
   return (
     session.report.service === job.service &&
@@ -1569,7 +1611,7 @@
     (step.requiredLabel === undefined ||
       session.report.labels.includes(step.requiredLabel)) &&
     (step.maxPerTarget === undefined ||
-      countTasksOnTarget(task.job, task.stepIndex, session) < step.maxPerTarget)
+      countTasksOnTarget(record, task.stepIndex, session) < step.maxPerTarget)
   );
 }
 
