--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -1062,7 +1062,7 @@
     this.removeOpenRun(run);
     record.hasStarted = true;
     if (how === 'done') {
-      session.lastDoneMs = this.opts.clock.now();
+      session.recordDone();
       this.doneTasks.add(run.job.id, task.taskId);
     }
     const ranMs = this.opts.clock.now() - (run.confirmedMs ?? run.orderedMs);
@@ -1516,7 +1516,7 @@
     const nowMs = this.opts.clock.now();
     for (const session of [...this.sessions.values()]) {
       if (!this.opts.ownsTarget(session.report.targetId)) {
-        session.isReleased = true;
+        session.release();
         this.checkSession(session, nowMs);
       }
     }
