--- /dev/null
+++ b/packages/scheduling/src/placement/session_candidate.ts
@@ -0,0 +1,15 @@
+import type {Resources, TargetId} from '@papayarun/protocol';
+import type {PlacedRun} from '../_lib/placed_run.js';
+import type {TargetSession} from '../_lib/target_session.js';
+
+/** Target session as a candidate for a task. */
+export interface SessionCandidate {
+  readonly session: TargetSession<PlacedRun>;
+  readonly targetId: TargetId;
+  free: Resources;
+  readonly slowness: number;
+  readonly isSuspect: boolean;
+  runs: number;
+  /** Whether it is kept for a task that has to run alone. */
+  isExclusive: boolean;
+}
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -1,159 +1,111 @@
 import type {
   InstanceId,
-  JobFailure,
   JobId,
   JobOutcome,
   JobQuote,
-  JobRefusal,
   KindId,
   RunTimeSample,
   ScheduledJob,
   TargetId,
   TargetReport,
-  TaskId,
 } from '@papayarun/protocol';
-import {EMPTY_QUOTE, fitsIn} from '@papayarun/protocol';
-import type {JobRecord} from '../_lib/job_record.js';
-import type {TargetSessionHost} from '../_lib/target_session_host.js';
+import {EMPTY_QUOTE} from '@papayarun/protocol';
 import type {FencedTarget} from '../_lib/fenced_target.js';
-import type {OrderedRun} from '../_lib/ordered_run.js';
-import type {PlacedRun} from '../_lib/placed_run.js';
-import type {TaskRecord} from '../_lib/task_record.js';
-import {createJobRecord} from '../_lib/create_job_record.js';
-import {hasUnplacedTask} from '../_lib/has_unplaced_task.js';
-import {DoneTasks} from '../_lib/done_tasks.js';
-import {DepartedTargets} from '../_lib/departed_targets.js';
-import {compareWaitingJobs} from '../_lib/compare_waiting_jobs.js';
-import {jobKey} from '../job_key/job_key.js';
-import {jobSizeProblem} from '../job_size/job_size_problem.js';
-import {taskCount} from '../job_size/task_count.js';
+import type {JobRecord} from '../_lib/job_record.js';
 import {mayHaveRun} from '../_lib/may_have_run.js';
+import type {PlacedRun} from '../_lib/placed_run.js';
 import {placedTasks} from '../_lib/placed_tasks.js';
-import {slotFreeTimes} from '../_lib/slot_free_times.js';
-import {Sleeper} from '../_lib/sleeper.js';
-import {totalSlots} from '../_lib/total_slots.js';
-import {TargetSession} from '../_lib/target_session.js';
-import {admitJob} from '../admit_job/admit_job.js';
-import type {Admission} from '../admit_job/admission.js';
-import {chooseTarget} from '../choose_target/choose_target.js';
-import type {EvacuationPhase} from '../evacuation_phase/evacuation_phase.js';
-import {expectedEnds} from '../expected_ends/expected_ends.js';
-import {isStraggler} from '../is_straggler/is_straggler.js';
-import type {LongRun} from '../is_straggler/long_run.js';
-import {maxLocalWaitMs} from '../local_wait/max_local_wait_ms.js';
-import {reservedSlots} from '../reserved_slots/reserved_slots.js';
-import {unreservedSlots} from '../reserved_slots/unreserved_slots.js';
-import {MIN_LEASE_SHARE} from '../run_permission/min_lease_share.js';
+import type {TargetSessionHost} from '../_lib/target_session_host.js';
+import {EarlierRuns} from '../earlier_runs/earlier_runs.js';
+import {mayBegin} from '../evacuation_phase/may_begin.js';
+import {Grant} from '../grant/grant.js';
+import {JobAdmission} from '../job_admission/job_admission.js';
+import {lastTaskStartMs} from '../job_admission/last_task_start_ms.js';
+import {JobEnds} from '../job_ends/job_ends.js';
+import {refusal} from '../job_ends/refusal.js';
+import {jobKey} from '../job_key/job_key.js';
+import {JobProgress} from '../job_progress/job_progress.js';
+import {JobWatch} from '../job_watch/job_watch.js';
+import {KnownTargets} from '../known_targets/known_targets.js';
 import {LoadMeter} from '../load_meter/load_meter.js';
-import {returnedTargets} from '../returned_targets/returned_targets.js';
-import {runPermissionEndMs} from '../run_permission/run_permission_end_ms.js';
-import type {RunTimeEstimator} from '../run_time_estimator/run_time_estimator.js';
-import type {RunEnd} from '../target_port/run_end.js';
+import {maxLocalWaitMs} from '../local_wait/max_local_wait_ms.js';
+import {OpenJobs} from '../open_jobs/open_jobs.js';
+import {OpenRuns} from '../open_runs/open_runs.js';
+import {Placement} from '../placement/placement.js';
+import {RunEnds} from '../run_ends/run_ends.js';
+import {WaitingJobs} from '../waiting_jobs/waiting_jobs.js';
 import type {SchedulerOptions} from './scheduler_options.js';
 
-/**
- * Period of the checks for stragglers and passed deadlines, in milliseconds.
- */
-const WATCH_PERIOD_MS = 40;
-/** Period of the checks while there are no jobs, in milliseconds. */
-const IDLE_WATCH_PERIOD_MS = 200;
-/**
- * Multiple of the expected run time after which the target is asked about a
- * run. `OVERDUE_SLACK_MS` is added to it.
- */
-const OVERDUE_FACTOR = 1.5;
-/**
- * Time beyond `OVERDUE_FACTOR` before a target is asked about a run, in
- * milliseconds.
- */
-const OVERDUE_SLACK_MS = 40;
-/**
- * Time before the caller's deadline at which its job is given up, in
- * milliseconds.
- */
-const ANSWER_MARGIN_MS = 20;
-/**
- * Longest wait for a target to confirm whether a claimed task runs there, in
- * milliseconds.
- */
-const CLAIM_TIMEOUT_MS = 400;
-/**
- * Time without an answer or report after which a target without runs is
- * removed, in milliseconds.
- */
-const TARGET_EXPIRY_MS = 10_000;
-/**
- * Interval at which jobs are tried again whose runs elsewhere may go on, in
- * milliseconds.
- */
-const OTHER_RUN_CHECK_MS = 20;
-/** Most tasks of the jobs in progress, which bounds the memory of their records. */
-const MAX_OPEN_TASKS = 100_000;
-/**
- * Most tasks placed in one turn of the event loop. Each sends an order, and what
- * arrives meanwhile waits.
- */
-const MAX_PLACED_PER_ROUND = 128;
-/** Most run time samples in an outcome. */
-const MAX_OUTCOME_SAMPLES = 2;
-/**
- * Multiple of a job's objective after which its end is too late for the job to
- * be admitted.
- */
-const USEFUL_TIME_FACTOR = 1.5;
-/**
- * Time without a new target after which all targets count as known, in
- * milliseconds.
- */
-const TARGET_DISCOVERY_QUIET_MS = 300;
-/**
- * Time after which a caller may retry a refused job, in milliseconds; allows
- * for a scheduler to take over.
- */
-const TAKEOVER_RETRY_MS = 500;
-
 /**
  * Schedules the tasks of jobs on the targets of a shard.
  *
- * @description Active while the instance holds the grant of the shard. Pure functions decide on admission, order and placement; this class
- * keeps the state that they work on.
+ * @description Active while the instance holds the grant of the shard. Joins the
+ * parts, each of which owns the state of one stage of a job: waiting, admitted,
+ * placed, running or ended. `docs/design/014-parts-of-the-scheduler.md` describes
+ * them.
  */
 export class Scheduler {
-  private readonly loadMeter = LoadMeter.create();
-  private readonly jobs = new Map<string, JobRecord>();
-  private readonly sessions = new Map<TargetId, TargetSession<PlacedRun>>();
-  private readonly departedTargets = DepartedTargets.create();
-  private readonly doneTasks: DoneTasks;
-  /** Latest run of each task that is not known to have ended. */
-  private readonly openRuns = new Map<TaskId, PlacedRun>();
-  /** Jobs with unplaced tasks; sorted before each round of placement. */
-  private waiting: JobRecord[] = [];
+  private readonly grant = Grant.create();
+  private readonly waiting = WaitingJobs.create();
+  private readonly openJobs = OpenJobs.create();
+  private readonly openRuns: OpenRuns;
+  private readonly knownTargets: KnownTargets;
+  private readonly admission: JobAdmission;
+  private readonly jobEnds: JobEnds;
+  private readonly progress: JobProgress;
+  private readonly earlierRuns: EarlierRuns;
+  private readonly runEnds: RunEnds;
+  private readonly placement: Placement;
+  private readonly watch: JobWatch;
+  /** Undefined without a grant. */
   private host: TargetSessionHost<PlacedRun> | undefined;
-  private endController = new AbortController();
-  private readonly watchSleeper: Sleeper;
-  private sequence = 0;
-  /** Number of tasks of the jobs in progress. */
-  private openTasks = 0;
-  private beganMs = -Infinity;
-  /** Monotonic time at which the first job was handed over under this grant. */
-  private handedOverMs: number | undefined;
-  /** Monotonic time at which the latest new target was added. */
-  private lastTargetAddedMs = -Infinity;
-  private isPlacementDue = false;
-  /** Whether the last round has left tasks to the next one. */
-  private isNextRoundDue = false;
-  private isOtherRunCheckDue = false;
-  /** Whether a target gets no new run until those that wait for one are heard. */
-  private isLeaseShort = false;
-  /** Phase of the last round of placement. */
-  private placedInPhase: EvacuationPhase['kind'] = 'inService';
-
-  private readonly estimator: RunTimeEstimator;
 
   private constructor(private readonly opts: SchedulerOptions) {
-    this.estimator = opts.estimator;
-    this.doneTasks = DoneTasks.create(opts.clock);
-    this.watchSleeper = Sleeper.create(opts.clock);
+    const {grant, waiting, openJobs} = this;
+    const loadMeter = LoadMeter.create();
+    const schedulePlacement = (): void => this.placement.schedulePlacement();
+    const openRuns = OpenRuns.create(opts);
+    const targets = KnownTargets.create(opts, grant, {
+      onChange: schedulePlacement,
+      onRunLapsed: run => this.runEnds.removeOpenRun(run),
+    });
+    const jobEnds = JobEnds.create(opts, {grant, targets, openJobs, waiting});
+    const progress = JobProgress.create(opts, {
+      waiting,
+      jobEnds,
+      schedulePlacement,
+    });
+    const earlierRuns = EarlierRuns.create(opts, {
+      targets,
+      openJobs,
+      openRuns,
+      progress,
+      schedulePlacement,
+    });
+    this.openRuns = openRuns;
+    this.knownTargets = targets;
+    this.admission = JobAdmission.create(opts, {targets, waiting, loadMeter});
+    this.jobEnds = jobEnds;
+    this.progress = progress;
+    this.earlierRuns = earlierRuns;
+    this.runEnds = RunEnds.create(opts, {
+      openRuns,
+      earlierRuns,
+      progress,
+      jobEnds,
+      schedulePlacement,
+    });
+    this.placement = Placement.create(opts, {
+      grant,
+      targets,
+      waiting,
+      openRuns,
+      earlierRuns,
+      jobEnds,
+      loadMeter,
+    });
+    const {placement} = this;
+    this.watch = JobWatch.create(opts, {targets, openJobs, jobEnds, placement});
   }
 
   /**
@@ -171,37 +123,32 @@
 
   /** Fencing token of the current grant; undefined without one. */
   get token(): number | undefined {
-    return this.host?.token;
+    return this.grant.token;
   }
 
   /** Number of jobs with an unplaced task. */
   get waitingJobs(): number {
-    return this.waiting.length;
+    return this.waiting.size;
   }
 
   /** Number of runs that are ordered and not known to have ended. */
   get runningTasks(): number {
-    let count = 0;
-    for (const session of this.sessions.values()) {
-      count += session.runs.size;
-    }
-    return count;
+    return this.knownTargets.runCount;
   }
 
   /** Age of the oldest job with an unplaced task, in milliseconds. */
   get oldestWaitMs(): number {
-    const nowMs = this.opts.clock.now();
-    return Math.max(0, ...this.waiting.map(job => nowMs - job.receivedMs));
+    return this.waiting.oldestWaitMs(this.opts.clock.now());
   }
 
   /** Whether a target has reported to this scheduler and is still in use. */
   hasTarget(targetId: TargetId): boolean {
-    return this.sessions.has(targetId);
+    return this.knownTargets.has(targetId);
   }
 
   /** Number of known targets. */
   get targets(): number {
-    return this.sessions.size;
+    return this.knownTargets.size;
   }
 
   /**
@@ -211,33 +158,14 @@
    * @param token - Fencing token of the grant.
    */
   begin(token: number): void {
-    if (this.host && this.host.token >= token) {
+    if (this.grant.token !== undefined && this.grant.token >= token) {
       return;
     }
     this.end();
-    this.endController = new AbortController();
-    this.host = {
-      port: this.opts.targetClient,
-      clock: this.opts.clock,
-      log: this.opts.log,
-      timing: this.opts.timing,
-      token,
-      handedOverMs: () => this.handedOverMs,
-      isFormerActive: () => this.opts.isFormerActive?.() ?? true,
-      permissionEndMs: jobId => this.permissionEndMs(jobId),
-      catchUp: () => this.opts.catchUp?.(),
-      onRunEnded: (run, how) => this.handleRunEnded(run, how),
-      onRunNotStarted: (run, reason) => this.handleRunNotStarted(run, reason),
-      onEarlierRunDone: (targetId, taskId) =>
-        this.handleEarlierRunDone(targetId, taskId),
-      onTargetRefusing: runs => this.handleRefusing(runs),
-      onFenced: session => this.handleFenced(session, token),
-      onChange: () => this.schedulePlacement(),
-    };
-    this.beganMs = this.opts.clock.now();
-    this.handedOverMs = undefined;
+    this.host = this.createHost(token);
+    this.grant.begin(token, this.opts.clock.now());
     this.opts.log.emit('schedulerBegun', {shard: this.opts.shard, token});
-    void this.watchLoop(this.endController.signal);
+    void this.watch.watchLoop(this.grant.ending);
   }
 
   /**
@@ -245,28 +173,27 @@
    * scheduler.
    */
   end(): void {
-    const {host} = this;
-    if (!host) {
+    const {token} = this.grant;
+    if (token === undefined) {
       return;
     }
     this.host = undefined;
-    this.endController.abort();
-    this.watchSleeper.wake();
-    for (const session of this.sessions.values()) {
-      session.close();
-    }
-    this.sessions.clear();
-    for (const record of [...this.jobs.values()]) {
-      this.concludeJob(
+    this.grant.end();
+    this.watch.wake();
+    this.knownTargets.closeAll();
+    for (const record of [...this.openJobs.values()]) {
+      this.jobEnds.concludeJob(
         record,
         mayHaveRun(record)
-          ? {kind: 'handedOver', placed: placedTasks(record, this.openRuns)}
+          ? {
+              kind: 'handedOver',
+              placed: placedTasks(record, this.openRuns.byTask),
+            }
           : refusal('notScheduler'),
       );
     }
     this.openRuns.clear();
-    const {shard} = this.opts;
-    this.opts.log.emit('schedulerEnded', {shard, token: host.token});
+    this.opts.log.emit('schedulerEnded', {shard: this.opts.shard, token});
   }
 
   /**
@@ -279,47 +206,7 @@
     if (!this.host) {
       return false;
     }
-    if (this.departedTargets.has(report)) {
-      return true;
-    }
-    if (report.state === 'gone') {
-      this.departedTargets.add(report, this.opts.clock.now());
-    }
-    const session = this.sessions.get(report.targetId);
-    const incarnation = session?.incarnationOf(report);
-    if (incarnation === 'earlier') {
-      return true;
-    }
-    if (session && incarnation === 'current') {
-      session.updateReport(report);
-      if (report.state !== 'ready') {
-        this.opts.log.emit('targetLeaving', {
-          target: report.targetId,
-          state: report.state,
-        });
-      }
-      this.checkSession(session, this.opts.clock.now());
-      this.schedulePlacement();
-      return true;
-    }
-    if (session && report.state === 'gone') {
-      session.closeAllRuns('restarted');
-      this.removeSession(session, 'left');
-      return true;
-    }
-    if (session) {
-      session.acceptRestart(report);
-      this.schedulePlacement();
-      return true;
-    }
-    if (report.state !== 'gone' && this.opts.ownsTarget(report.targetId)) {
-      this.sessions.set(
-        report.targetId,
-        TargetSession.create(this.host, report),
-      );
-      this.lastTargetAddedMs = this.opts.clock.now();
-      this.opts.log.emit('targetAdded', {target: report.targetId});
-    }
+    this.knownTargets.acceptReport(report, this.host);
     return true;
   }
 
@@ -337,72 +224,92 @@
     requester?: InstanceId,
     onAdmitted?: () => void,
   ): Promise<JobOutcome> {
-    const key = jobKey(job);
-    const present = this.jobs.get(key);
+    const present = this.openJobs.get(jobKey(job));
     if (present) {
-      this.logSentAgain(present, 'joined', requester);
+      this.earlierRuns.logSentAgain(present, 'joined', requester);
       return present.outcome;
     }
-    if (!job.placed && this.hasNoRoomFor(job)) {
-      return Promise.resolve(this.refuseForRoom(job, requester));
+    if (!job.placed && this.openJobs.hasNoRoomFor(job)) {
+      return Promise.resolve(this.jobEnds.refuseForRoom(job, requester));
     }
     const nowMs = this.opts.clock.now();
-    const {record, slots} = this.prepareRecord(job, nowMs);
+    const {record, slots} = this.admission.prepareRecord(job, nowMs);
     record.requester = requester;
-    const isRecalled = this.recallEarlierRuns(record);
+    const outcome =
+      this.recallOutcome(record, slots, nowMs) ??
+      this.refuseUnlessAdmitted(record, slots, nowMs);
+    if (outcome) {
+      return Promise.resolve(outcome);
+    }
+    this.admission.recordLoad(record, nowMs);
+    this.openJobs.add(record);
+    this.watch.watchNew(job);
+    onAdmitted?.();
+    this.progress.unblockSteps(record);
+    this.progress.completeIfDone(record);
+    this.placement.placeWaitingTasks();
+    return record.outcome;
+  }
+
+  /**
+   * Applies what is known of earlier runs of a job's tasks.
+   *
+   * @returns The outcome, if the job needs no more runs or can't get any.
+   */
+  private recallOutcome(
+    record: JobRecord,
+    slots: number,
+    nowMs: number,
+  ): JobOutcome | undefined {
+    const isRecalled = this.earlierRuns.recallEarlierRuns(record);
     if (record.tasks.every(task => task.state === 'done')) {
-      return Promise.resolve({kind: 'completed', samples: []});
+      return {kind: 'completed', samples: []};
     }
     if (!this.host) {
-      return Promise.resolve(refusal('notScheduler'));
+      return refusal('notScheduler');
     }
-    if (job.placed) {
-      this.handedOverMs ??= nowMs;
+    if (record.job.placed) {
+      this.grant.recordHandover(nowMs);
     }
-    if (isRecalled && slots === 0 && !this.hasOpenRun(record)) {
-      return Promise.resolve({kind: 'failed', reason: 'schedulerLost'});
+    if (isRecalled && slots === 0 && !this.openRuns.hasRunOf(record)) {
+      return {kind: 'failed', reason: 'schedulerLost'};
     }
     if (record.tasks.some(({taskId}) => this.opts.crashes.isGivenUp(taskId))) {
-      return Promise.resolve({kind: 'failed', reason: 'targetLost'});
+      return {kind: 'failed', reason: 'targetLost'};
     }
-    this.markOrphansClaimed(record);
-    if (!mayHaveRun(record) && !this.mayBegin(job.isPromised)) {
-      const outcome = refusal('evacuated');
-      record.isConcluded = true;
-      this.reportOutcome(record, outcome);
-      return Promise.resolve(outcome);
+    this.earlierRuns.markOrphansClaimed(record);
+    return undefined;
+  }
+
+  /** Refuses a job of which nothing has run, unless it is admitted. */
+  private refuseUnlessAdmitted(
+    record: JobRecord,
+    slots: number,
+    nowMs: number,
+  ): JobOutcome | undefined {
+    const {isPromised} = record.job;
+    if (mayHaveRun(record)) {
+      return undefined;
     }
-    if (!mayHaveRun(record) && !job.isPromised) {
-      const admission = this.decideAdmission(record, slots, nowMs);
-      if (admission.kind === 'refused') {
-        record.isConcluded = true;
-        this.reportOutcome(record, admission);
-        return Promise.resolve(admission);
-      }
-      const waitMs = lastTaskStartMs(admission.quote, record);
-      const slackMs = record.objectiveAtMs - nowMs - record.criticalPathMs;
-      if (waitMs - this.opts.loopLagMs() > maxLocalWaitMs(slackMs)) {
-        // Not final: the entry compares the quotes of all data centres and may
-        // submit the job, or a part of it, again as promised.
-        record.isConcluded = true;
-        return Promise.resolve(refusal('wouldWait', admission.quote));
-      }
+    if (!mayBegin(this.knownTargets.evacuationPhase, isPromised)) {
+      return this.jobEnds.refuseNew(record, refusal('evacuated'));
     }
-    const workMs = record.tasks.reduce(
-      (sum, t) => sum + record.expectedMs[t.stepIndex]!,
-      0,
-    );
-    this.loadMeter.add(job.priority, workMs, nowMs);
-    this.jobs.set(key, record);
-    this.openTasks += record.tasks.length;
-    if (job.leftMs < IDLE_WATCH_PERIOD_MS) {
-      this.watchSleeper.wake();
+    if (isPromised) {
+      return undefined;
     }
-    onAdmitted?.();
-    this.unblockSteps(record);
-    this.completeIfDone(record);
-    this.placeWaitingTasks();
-    return record.outcome;
+    const admission = this.admission.decideAdmission(record, slots, nowMs);
+    if (admission.kind === 'refused') {
+      return this.jobEnds.refuseNew(record, admission);
+    }
+    const waitMs = lastTaskStartMs(admission.quote, record);
+    const slackMs = record.objectiveAtMs - nowMs - record.criticalPathMs;
+    if (waitMs - this.opts.loopLagMs() > maxLocalWaitMs(slackMs)) {
+      // Not final: the entry compares the quotes of all data centres and may
+      // submit the job, or a part of it, again as promised.
+      record.isConcluded = true;
+      return refusal('wouldWait', admission.quote);
+    }
+    return undefined;
   }
 
   /**
@@ -412,7 +319,7 @@
    * @param sample - Declared and measured run time of a task.
    */
   recordRunTime(kind: KindId, sample: RunTimeSample): void {
-    this.estimator.addSample(kind, sample.declaredMs, sample.ranMs);
+    this.opts.estimator.addSample(kind, sample.declaredMs, sample.ranMs);
   }
 
   /**
@@ -422,12 +329,16 @@
    * @returns The quote; an empty one without a grant.
    */
   quote(job: ScheduledJob): JobQuote {
-    if (!this.host || this.hasNoRoomFor(job) || !this.mayBegin(false)) {
+    if (
+      !this.host ||
+      this.openJobs.hasNoRoomFor(job) ||
+      !mayBegin(this.knownTargets.evacuationPhase, false)
+    ) {
       return EMPTY_QUOTE;
     }
     const nowMs = this.opts.clock.now();
-    const {record, slots} = this.prepareRecord(job, nowMs);
-    return this.decideAdmission(record, slots, nowMs).quote;
+    const {record, slots} = this.admission.prepareRecord(job, nowMs);
+    return this.admission.decideAdmission(record, slots, nowMs).quote;
   }
 
   /**
@@ -441,10 +352,8 @@
     jobId: JobId,
     reason: 'cancelled' | 'cancelledByCaller' = 'cancelled',
   ): void {
-    for (const record of [...this.jobs.values()]) {
-      if (record.job.id === jobId) {
-        this.failJob(record, reason);
-      }
+    for (const record of this.openJobs.withId(jobId)) {
+      this.jobEnds.failJob(record, reason);
     }
   }
 
@@ -455,9 +364,9 @@
    * @param job - The job, or the part of it that was submitted.
    */
   cancelSubmission(job: ScheduledJob): void {
-    const record = this.jobs.get(jobKey(job));
+    const record = this.openJobs.get(jobKey(job));
     if (record) {
-      this.failJob(record, 'cancelled');
+      this.jobEnds.failJob(record, 'cancelled');
     }
   }
 
@@ -466,1179 +375,62 @@
    * is to be evacuated. Promised parts stay: other parts of their jobs may have begun.
    */
   refuseUnbegun(): void {
-    for (const record of [...this.waiting]) {
+    for (const record of [...this.waiting.list]) {
       if (!record.job.isPromised && !mayHaveRun(record)) {
-        this.failJob(record, 'evacuated');
+        this.jobEnds.failJob(record, 'evacuated');
       }
     }
   }
 
-  /** Whether more or fewer targets may be in use than in the last placement. */
-  private hasPhaseChanged(): boolean {
-    const {kind} = this.evacuationPhase;
-    return kind !== this.placedInPhase || kind === 'returning';
-  }
-
-  private get evacuationPhase(): EvacuationPhase {
-    return this.opts.evacuationPhase?.() ?? {kind: 'inService'};
-  }
-
-  /** Whether a job of which nothing has begun may begin here. */
-  private mayBegin(isPromised: boolean): boolean {
-    const phase = this.evacuationPhase;
-    switch (phase.kind) {
-      case 'inService':
-      case 'returning':
-        return true;
-      case 'leaving':
-        return isPromised;
-      case 'evacuated':
-        return false;
-      default:
-        return phase satisfies never;
-    }
-  }
-
-  /** Sessions with the targets that are in use. */
-  private sessionsInUse(): Iterable<TargetSession<PlacedRun>> {
-    const phase = this.evacuationPhase;
-    return phase.kind === 'returning'
-      ? returnedTargets(
-          this.sessions.values(),
-          session => session.report.targetId,
-          phase.share,
-        )
-      : this.sessions.values();
-  }
-
-  /** Whether the records of a job's tasks would take too much memory. */
-  private hasNoRoomFor({isPromised, steps}: ScheduledJob): boolean {
-    return (
-      jobSizeProblem(steps) !== undefined ||
-      (!isPromised && this.openTasks + taskCount(steps) > MAX_OPEN_TASKS)
-    );
-  }
-
-  /** Refuses a job before a record of it is made. */
-  private refuseForRoom(
-    job: ScheduledJob,
-    requester: InstanceId | undefined,
-  ): JobOutcome {
-    const outcome = refusal('tooMany');
-    this.opts.onOutcome(job, outcome, 0, undefined);
-    this.opts.log.emit('jobRefused', {
-      jobId: job.id,
-      requester,
-      shard: this.opts.shard,
-      outcome: outcome.kind,
-      reason: 'tooMany',
-      kind: job.kind,
-      tasks: taskCount(job.steps),
-      openTasks: this.openTasks,
-    });
-    return outcome;
+  /** Stops using targets that the log has assigned to another shard. */
+  releaseMovedTargets(): void {
+    this.knownTargets.releaseMovedTargets();
   }
 
-  private prepareRecord(
-    job: ScheduledJob,
-    nowMs: number,
-  ): {
-    readonly record: JobRecord;
-    readonly slots: number;
-  } {
-    const expectedMs = job.steps.map(step =>
-      this.estimator.estimateMs(job.kind, step.estimateMs),
-    );
-    const sequence = ++this.sequence;
-    const slots = totalSlots(job, this.sessions.values());
-    // The objective depends on the slots of the whole service. All shards are
-    // assumed to have as many as this one.
-    const serviceSlots = slots * Math.max(1, this.opts.shardCount());
+  private createHost(token: number): TargetSessionHost<PlacedRun> {
+    const {opts, openRuns, earlierRuns, runEnds, placement} = this;
     return {
-      record: createJobRecord(job, expectedMs, sequence, serviceSlots, nowMs),
-      slots,
-    };
-  }
-
-  private decideAdmission(
-    record: JobRecord,
-    slots: number,
-    nowMs: number,
-  ): Admission {
-    const {job, expectedMs} = record;
-    const aheadMs: number[] = [];
-    for (const other of this.waiting) {
-      if (other.job.priority <= job.priority) {
-        for (const task of other.tasks) {
-          if (task.state === 'waiting') {
-            aheadMs.push(other.expectedMs[task.stepIndex]!);
-          }
-        }
-      }
-    }
-    const ownMs = record.tasks.map(task => expectedMs[task.stepIndex]!);
-    const urgentSlots = this.loadMeter.loadAbove(job.priority, nowMs);
-    const reserved = reservedSlots({
-      urgentSlots,
-      busySlots: this.loadMeter.loadAbove(Infinity, nowMs),
-      totalSlots: slots,
-    });
-    const tasks = aheadMs.length + ownMs.length;
-    const slotFreeMs = slotFreeTimes(
-      job,
-      this.sessionsInUse(),
-      nowMs,
-      tasks,
-      tasks + Math.ceil(reserved),
-    );
-    const endsMs = expectedEnds(
-      unreservedSlots(slotFreeMs, reserved),
-      aheadMs,
-      ownMs,
-    );
-    record.forecast = {
-      endMs: Math.max(...endsMs),
-      freeSlots: slotFreeMs.filter(ms => ms === 0).length,
-    };
-    return admitJob({
-      slots,
-      criticalPathMs: record.criticalPathMs,
-      endsMs,
-      urgentShare: urgentSlots / Math.max(1, slots),
-      objectiveTimeLeftMs: record.objectiveAtMs - nowMs,
-      // Counted from now, since a job may have waited for this scheduler to
-      // take over.
-      usefulTimeLeftMs:
-        USEFUL_TIME_FACTOR *
-        (record.objectiveAtMs - record.receivedMs + job.ageMs),
-      callerTimeLeftMs: record.callerDeadlineAtMs - nowMs,
-      loopLagMs: this.opts.loopLagMs(),
-      waitingJobs: this.waiting.length,
-      isDiscoveringTargets: this.isDiscoveringTargets(nowMs),
-    });
-  }
-
-  /**
-   * Whether the scheduler has just begun and is still receiving reports of new
-   * targets.
-   */
-  private isDiscoveringTargets(nowMs: number): boolean {
-    return (
-      nowMs - this.beganMs < this.opts.timing.reportMs &&
-      nowMs - this.lastTargetAddedMs < TARGET_DISCOVERY_QUIET_MS
-    );
-  }
-
-  /**
-   * Applies what is known of the tasks from earlier submissions of their job.
-   *
-   * @returns Whether anything is known.
-   */
-  private recallEarlierRuns(record: JobRecord): boolean {
-    let isRecalled = false;
-    for (const task of record.tasks) {
-      const isDone = this.doneTasks.has(record.job.id, task.taskId);
-      task.state = isDone ? 'done' : task.state;
-      isRecalled ||= isDone || this.openRuns.has(task.taskId);
-    }
-    if (isRecalled) {
-      record.hasStarted = true;
-      this.logSentAgain(record, 'recalled', record.requester);
-    }
-    return isRecalled;
-  }
-
-  private logSentAgain(
-    {job, tasks}: JobRecord,
-    how: 'joined' | 'recalled',
-    requester: InstanceId | undefined,
-  ): void {
-    this.opts.log.emit('jobSentAgain', {
-      jobId: job.id,
-      requester,
-      shard: this.opts.shard,
-      how,
-      tasks: tasks.length,
-      done: tasks.filter(task => task.state === 'done').length,
-      running: tasks.filter(({taskId}) => this.openRuns.has(taskId)).length,
-    });
-  }
-
-  /**
-   * Marks tasks as claimed if an earlier scheduler's run of them is on a
-   * target.
-   */
-  private markOrphansClaimed(record: JobRecord): void {
-    for (const session of this.sessions.values()) {
-      if (!session.hasOrphans) {
-        continue;
-      }
-      for (const task of record.tasks) {
-        if (task.state !== 'done' && session.hasOrphan(task.taskId)) {
-          task.state = 'claimed';
-          task.claimedTargetId = session.report.targetId;
-        }
-      }
-    }
-  }
-
-  /** Takes over claimed tasks whose targets have answered. */
-  private resolveClaims(record: JobRecord): void {
-    for (const task of record.tasks) {
-      const session =
-        task.state === 'claimed' && task.claimedTargetId !== undefined
-          ? this.sessions.get(task.claimedTargetId)
-          : undefined;
-      if (!session?.isConfirmed) {
-        continue;
-      }
-      const found = session.adopt(task.taskId);
-      switch (found?.kind) {
-        case 'running': {
-          const run = this.createRun(record, task, session, found.run, true);
-          run.state = 'running';
-          run.confirmedMs = run.orderedMs;
-          task.nextRunNumber = Math.max(task.nextRunNumber, found.run + 1);
-          task.state = 'placed';
-          task.run = run;
-          session.addRun(run);
-          break;
-        }
-        case 'ended':
-          task.state = found.end.how === 'done' ? 'done' : 'waiting';
-          task.nextRunNumber = Math.max(task.nextRunNumber, found.end.run + 1);
-          break;
-        case undefined:
-          // An order of the earlier scheduler that has not arrived yet will be
-          // rejected, since the target has seen the newer fencing token.
-          task.state = 'waiting';
-          break;
-        default:
-          found satisfies never;
-      }
-      this.opts.log.emit('taskAdopted', {
-        taskId: task.taskId,
-        target: session.report.targetId,
-        state: task.state,
-      });
-    }
-    this.completeIfDone(record);
-  }
-
-  /**
-   * Marks waiting tasks as done that a run of an earlier submission completed
-   * meanwhile. A task waits for as long as such a run may exist.
-   */
-  private resolveEarlierRuns(record: JobRecord): void {
-    let isAnyDone = false;
-    for (const task of record.tasks) {
-      if (task.state !== 'waiting') {
-        continue;
-      }
-      const run = this.openRuns.get(task.taskId);
-      if (run) {
-        task.nextRunNumber = Math.max(task.nextRunNumber, run.runNumber + 1);
-      } else if (this.doneTasks.has(record.job.id, task.taskId)) {
-        task.state = 'done';
-        isAnyDone = true;
-      }
-    }
-    if (isAnyDone) {
-      this.unblockSteps(record);
-      this.completeIfDone(record);
-    }
-  }
-
-  private enqueue(record: JobRecord): void {
-    if (record.isConcluded || this.waiting.includes(record)) {
-      return;
-    }
-    this.waiting.push(record);
-  }
-
-  /** Places waiting tasks once after all changes of this turn. */
-  private schedulePlacement(): void {
-    if (!this.isPlacementDue) {
-      this.isPlacementDue = true;
-      queueMicrotask(() => {
-        this.isPlacementDue = false;
-        this.placeWaitingTasks();
-      });
-    }
-  }
-
-  /** Places waiting tasks, in the order of their jobs. */
-  private placeWaitingTasks(): void {
-    if (!this.host || this.waiting.length === 0 || this.isNextRoundDue) {
-      return;
-    }
-    this.placedInPhase = this.evacuationPhase.kind;
-    if (this.placedInPhase === 'evacuated') {
-      this.failWaitingTasks();
-      return;
-    }
-    const candidates = this.availableCandidates();
-    const nowMs = this.opts.clock.now();
-    this.waiting.sort((a, b) => compareWaitingJobs(a, b, nowMs));
-    this.withholdForSuspect(candidates);
-    const slots = countSlots(candidates);
-    const busySlots = this.loadMeter.loadAbove(Infinity, nowMs);
-    let placedCount = 0;
-    for (const record of [...this.waiting]) {
-      this.resolveClaims(record);
-      this.resolveEarlierRuns(record);
-      if (this.isPermissionShort(record, nowMs)) {
-        this.isLeaseShort = true;
-        continue;
-      }
-      if ((this.opts.otherRunsForMs?.(record.job.id) ?? 0) > 0) {
-        void this.placeAfterOtherRuns();
-        continue;
-      }
-      const urgentSlots = this.loadMeter.loadAbove(record.job.priority, nowMs);
-      const reserved = reservedSlots({
-        urgentSlots,
-        busySlots,
-        totalSlots: slots.totalSlots,
-      });
-      const placed = this.placeTasks(
-        record,
-        candidates,
-        MAX_PLACED_PER_ROUND - placedCount,
-        () => reserved === 0 || slots.freeSlots > reserved,
-        () => slots.freeSlots--,
-      );
-      placedCount += placed.length;
-      this.logPlaced(record, placed, nowMs);
-      if (placedCount === MAX_PLACED_PER_ROUND) {
-        void this.placeInNextRound();
-        break;
-      }
-    }
-    this.waiting = this.waiting.filter(hasUnplacedTask);
-  }
-
-  /** Fails the jobs whose waiting tasks may not be started any more. */
-  private failWaitingTasks(): void {
-    for (const record of [...this.waiting]) {
-      this.resolveClaims(record);
-      this.resolveEarlierRuns(record);
-      if (record.tasks.some(({state}) => state === 'waiting')) {
-        this.failJob(record, 'evacuated');
-      }
-    }
-    this.waiting = this.waiting.filter(hasUnplacedTask);
-  }
-
-  /** Places waiting tasks of a job, up to a number of them. */
-  private placeTasks(
-    record: JobRecord,
-    candidates: SessionCandidate[],
-    maxCount: number,
-    mayPlace: () => boolean,
-    onPlaced: () => void,
-  ): PlacedRun[] {
-    const placed: PlacedRun[] = [];
-    /** Steps of which a task has found no target in this round. */
-    const fullSteps = new Set<number>();
-    for (const task of record.tasks) {
-      const {stepIndex, taskId} = task;
-      if (placed.length >= maxCount || !mayPlace()) {
-        break;
-      }
-      if (task.state !== 'waiting' || this.openRuns.has(taskId)) {
-        continue;
-      }
-      const isSuspect = this.opts.crashes.isSuspect(taskId);
-      if (fullSteps.has(stepIndex) && !isSuspect) {
-        continue;
-      }
-      const run = this.placeTask(record, task, candidates);
-      if (run) {
-        placed.push(run);
-        onPlaced();
-      } else if (!isSuspect && task.excludedTargets.size === 0) {
-        fullSteps.add(stepIndex);
-      }
-    }
-    return placed;
-  }
-
-  /** Goes on with the placement when other events have been handled. */
-  private async placeInNextRound(): Promise<void> {
-    this.isNextRoundDue = true;
-    await this.opts.clock.sleep(0);
-    this.isNextRoundDue = false;
-    this.schedulePlacement();
-  }
-
-  /** Places waiting tasks again until runs elsewhere have ended. */
-  private async placeAfterOtherRuns(): Promise<void> {
-    if (!this.isOtherRunCheckDue) {
-      this.isOtherRunCheckDue = true;
-      await this.opts.clock.sleep(OTHER_RUN_CHECK_MS);
-      this.isOtherRunCheckDue = false;
-      this.schedulePlacement();
-    }
-  }
-
-  private availableCandidates(): SessionCandidate[] {
-    const candidates: SessionCandidate[] = [];
-    this.isLeaseShort = false;
-    for (const session of this.sessionsInUse()) {
-      session.updateClock();
-      if (!session.mayStartRun) {
-        this.isLeaseShort ||= session.isLeaseShort;
-      } else {
-        candidates.push({
-          session,
-          targetId: session.report.targetId,
-          free: session.freeResources(),
-          slowness: session.slowness,
-          isSuspect: session.health.kind === 'suspect',
-          runs: session.runs.size,
-          isExclusive: [...session.runs.values()].some(run =>
-            this.opts.crashes.isSuspect(run.taskId),
-          ),
-        });
-      }
-    }
-    return candidates;
-  }
-
-  /**
-   * Keeps other tasks off the target with the fewest runs, if a task that has
-   * to run alone waits and no target is idle.
-   */
-  private withholdForSuspect(candidates: readonly SessionCandidate[]): void {
-    const {crashes, clock} = this.opts;
-    if (!crashes.hasSuspects(clock.now())) {
-      return;
-    }
-    const suspect = this.findWaiting(({taskId}) => crashes.isSuspect(taskId));
-    if (!suspect) {
-      return;
-    }
-    const {record, task} = suspect;
-    const [emptiest] = candidates
-      .filter(({session}) => isAllowed(record, task, session))
-      .sort((a, b) => a.runs - b.runs);
-    if (emptiest && emptiest.runs > 0) {
-      emptiest.isExclusive = true;
-    }
-  }
-
-  /** First waiting task that meets a condition, with its job. */
-  private findWaiting(
-    isMet: (task: TaskRecord) => boolean,
-  ): {readonly record: JobRecord; readonly task: TaskRecord} | undefined {
-    for (const record of this.waiting) {
-      for (const task of record.tasks) {
-        if (task.state === 'waiting' && isMet(task)) {
-          return {record, task};
-        }
-      }
-    }
-    return undefined;
-  }
-
-  /** Orders a task on a target; undefined if it fits on none. */
-  private placeTask(
-    record: JobRecord,
-    task: TaskRecord,
-    candidates: SessionCandidate[],
-  ): PlacedRun | undefined {
-    const {needs} = record.job.steps[task.stepIndex]!;
-    // A suspect runs alone, so that another crash takes no other task along.
-    const isSuspect = this.opts.crashes.isSuspect(task.taskId);
-    const usable = candidates.filter(
-      ({session, runs, isExclusive}) =>
-        isAllowed(record, task, session) &&
-        (isSuspect ? runs === 0 : !isExclusive),
-    );
-    const chosen = chooseTarget(usable, needs);
-    if (!chosen) {
-      return undefined;
-    }
-    const {session} = chosen;
-    const run = this.createRun(
-      record,
-      task,
-      session,
-      task.nextRunNumber++,
-      false,
-    );
-    task.state = 'placed';
-    task.run = run;
-    void session.start(run);
-    chosen.free = session.freeResources();
-    chosen.runs = session.runs.size;
-    chosen.isExclusive ||= isSuspect;
-    return run;
-  }
-
-  /** Logs the targets that tasks of a job were placed on in one round. */
-  private logPlaced(
-    record: JobRecord,
-    placed: readonly PlacedRun[],
-    nowMs: number,
-  ): void {
-    if (placed.length > 0 && this.opts.log.decisionsEnabled) {
-      this.opts.log.emit('taskPlaced', {
-        jobId: record.job.id,
-        requester: record.requester,
-        waitedMs: Math.round(nowMs - record.receivedMs),
-        runs: placed.map(({taskId, runNumber, session}) => ({
-          taskId,
-          run: runNumber,
-          target: session.report.targetId,
-          slowness: Number(session.slowness.toFixed(2)),
-        })),
-      });
-    }
-  }
-
-  private createRun(
-    record: JobRecord,
-    task: TaskRecord,
-    session: TargetSession<PlacedRun>,
-    runNumber: number,
-    isAdopted: boolean,
-  ): PlacedRun {
-    const {job} = record;
-    const permittedUntilMs = this.permissionEndMs(job.id);
-    const run: PlacedRun = {
-      taskId: task.taskId,
-      job,
-      record,
-      task,
-      runNumber,
-      session,
-      needs: job.steps[task.stepIndex]!.needs,
-      state: 'starting',
-      orderedMs: this.opts.clock.now(),
-      confirmedMs: undefined,
-      expectedMs: record.expectedMs[task.stepIndex]! * session.slowness,
-      leaseEndMs: session.newLeaseEndMs(permittedUntilMs),
-      permittedUntilMs,
-      isListed: isAdopted,
-      mayBeLost: false,
-      isOverdueChecked: false,
-      isAdopted,
-      isCrashRecorded: false,
-      abandonedMs: undefined,
+      port: opts.targetClient,
+      clock: opts.clock,
+      log: opts.log,
+      timing: opts.timing,
+      token,
+      handedOverMs: () => this.grant.handedOverMs,
+      isFormerActive: () => opts.isFormerActive?.() ?? true,
+      permissionEndMs: jobId => openRuns.permissionEndMs(jobId),
+      catchUp: () => opts.catchUp?.(),
+      onRunEnded: (run, how) => runEnds.handleRunEnded(run, how),
+      onRunNotStarted: (run, reason) =>
+        runEnds.handleRunNotStarted(run, reason),
+      onEarlierRunDone: (targetId, taskId) =>
+        earlierRuns.handleEarlierRunDone(targetId, taskId),
+      onTargetRefusing: runs => runEnds.handleRefusing(runs),
+      onFenced: target => this.handleFenced(target, token),
+      onChange: () => placement.schedulePlacement(),
     };
-    this.openRuns.set(task.taskId, run);
-    return run;
-  }
-
-  /** Time by which the lease of a job's runs has to end, by what is known now. */
-  private permissionEndMs(jobId: JobId): number {
-    const heardMs = this.opts.requesterHeardMs?.(jobId);
-    return heardMs === undefined
-      ? Infinity
-      : runPermissionEndMs(heardMs, this.opts.timing);
-  }
-
-  /** Whether a run that is ordered now would have to end soon. */
-  private isPermissionShort({job}: JobRecord, nowMs: number): boolean {
-    const leftMs = this.permissionEndMs(job.id) - nowMs;
-    return leftMs < MIN_LEASE_SHARE * this.opts.timing.maxLeaseMs;
-  }
-
-  private hasOpenRun(record: JobRecord): boolean {
-    return record.tasks.some(({taskId}) => this.openRuns.has(taskId));
-  }
-
-  private removeOpenRun(run: PlacedRun): void {
-    this.removeAbandonedRun(run);
-    if (this.openRuns.get(run.taskId) === run) {
-      this.openRuns.delete(run.taskId);
-    }
-  }
-
-  private handleRunEnded(run: PlacedRun, how: RunEnd): void {
-    const {record, task, session} = run;
-    this.removeOpenRun(run);
-    record.hasStarted = true;
-    if (how === 'done') {
-      session.recordDone();
-      this.doneTasks.add(run.job.id, task.taskId);
-    }
-    const ranMs = this.opts.clock.now() - (run.confirmedMs ?? run.orderedMs);
-    if (how === 'done' && run.abandonedMs === undefined && !run.isAdopted) {
-      const {job, expectedMs, samples} = record;
-      const declaredMs = job.steps[task.stepIndex]!.estimateMs;
-      const sample = {declaredMs, ranMs: ranMs / session.slowness};
-      const {longestRunMs} = record;
-      longestRunMs[task.stepIndex] = Math.max(
-        longestRunMs[task.stepIndex]!,
-        ranMs,
-      );
-      this.recordRunTime(job.kind, sample);
-      if (samples.length < MAX_OUTCOME_SAMPLES) {
-        samples.push(sample);
-      }
-      session.recordRunResult(
-        'succeeded',
-        ranMs / Math.max(1, expectedMs[task.stepIndex]!),
-      );
-    } else if (how === 'failed') {
-      session.recordRunResult('failed');
-    } else if (how === 'targetCrashed') {
-      this.recordCrash(run);
-    }
-    this.schedulePlacement();
-    if (run.abandonedMs !== undefined) {
-      this.logAbandonedRun(run, how, run.abandonedMs);
-      return;
-    }
-    if (task.run !== run || record.isConcluded) {
-      return;
-    }
-    task.run = undefined;
-    if (how === 'done') {
-      task.state = 'done';
-      this.unblockSteps(record);
-      this.completeIfDone(record);
-      return;
-    }
-    if (how === 'failed' && ++task.failures >= run.job.maxAttempts) {
-      this.failJob(record, 'taskFailed');
-      return;
-    }
-    const crashFailure =
-      how === 'targetCrashed' ? this.crashFailure(run) : undefined;
-    if (crashFailure) {
-      this.failJob(record, crashFailure);
-      return;
-    }
-    this.retryTask(run, how);
   }
 
-  /**
-   * Records a run that counted as lapsed, and was done before its lease expired;
-   * its target could not tell. A task that still waits is not started again.
-   */
-  private handleEarlierRunDone(target: TargetId, taskId: TaskId): void {
-    for (const {job, tasks} of this.jobs.values()) {
-      const task = taskId.startsWith(job.id)
-        ? tasks.find(other => other.taskId === taskId)
-        : undefined;
-      if (task?.state === 'waiting') {
-        this.doneTasks.add(job.id, taskId);
-        this.opts.log.emit('taskAdopted', {
-          taskId,
-          target,
-          state: 'done',
-        });
-        this.schedulePlacement();
-      }
-    }
-  }
-
-  private logAbandonedRun(
-    run: PlacedRun,
-    how: RunEnd,
-    abandonedMs: number,
-  ): void {
-    this.opts.log.emit('abandonedRunEnded', {
-      taskId: run.taskId,
-      run: run.runNumber,
-      target: run.session.report.targetId,
-      how,
-      afterMs: Math.round(this.opts.clock.now() - abandonedMs),
-    });
-  }
-
-  /**
-   * Counts the crash of a target under its runs as soon as nothing listens there,
-   * while they may be started elsewhere only after their lease.
-   */
-  private handleRefusing(runs: ReadonlyMap<TaskId, PlacedRun>): void {
-    for (const run of [...runs.values()]) {
-      this.recordCrash(run);
-      const {record} = run;
-      const failure = run.isCrashRecorded ? this.crashFailure(run) : undefined;
-      if (failure && !record.isConcluded) {
-        this.failJob(record, failure);
-      }
-    }
-  }
-
-  /** Why a task whose target has crashed isn't started again, if it isn't. */
-  private crashFailure({taskId, job}: PlacedRun): JobFailure | undefined {
-    const {crashes, clock} = this.opts;
-    if (crashes.isGivenUp(taskId)) {
-      return 'targetLost';
-    }
-    return crashes.isKindSuspect(job.kind, clock.now())
-      ? 'kindSuspected'
-      : undefined;
-  }
-
-  private recordCrash(run: PlacedRun): void {
-    // An order that is still on its way may find the target gone already.
-    const mayHaveBegun =
-      run.confirmedMs !== undefined || run.state === 'uncertain';
-    if (mayHaveBegun && !run.isCrashRecorded) {
-      run.isCrashRecorded = true;
-      const {job, taskId} = run;
-      const nowMs = this.opts.clock.now();
-      this.opts.crashes.recordCrash(job.kind, taskId, nowMs);
-    }
-  }
-
-  private handleRunNotStarted(run: PlacedRun, reason: string): void {
-    const {record, task} = run;
-    this.removeOpenRun(run);
-    this.schedulePlacement();
-    if (
-      run.abandonedMs !== undefined ||
-      task.run !== run ||
-      record.isConcluded
-    ) {
-      return;
-    }
-    task.run = undefined;
-    this.retryTask(run, reason);
-  }
-
-  /** Returns a task to waiting, or fails its job if too little time is left. */
-  private retryTask(run: PlacedRun, reason: string): void {
-    const {record, task} = run;
-    const {stepIndex} = task;
-    const target = run.session.report.targetId;
-    const leftMs = record.callerDeadlineAtMs - this.opts.clock.now();
-    this.opts.log.emit('taskRetried', {
-      taskId: task.taskId,
-      run: run.runNumber,
-      reason,
-      target,
-      leftMs: Math.round(leftMs),
-    });
-    if (record.expectedMs[stepIndex]! > leftMs) {
-      this.failJob(record, 'deadline');
-      return;
-    }
-    // A target that has ended a higher run takes the next number.
-    if (reason !== 'superseded') {
-      task.excludedTargets.add(target);
-    }
-    task.state = 'waiting';
-    this.enqueue(record);
-    this.schedulePlacement();
-  }
-
-  private unblockSteps(record: JobRecord): void {
-    const isStepDone = record.job.steps.map(() => true);
-    for (const {state, stepIndex} of record.tasks) {
-      isStepDone[stepIndex] &&= state === 'done';
-    }
-    const isReady = record.job.steps.map(({after}) =>
-      after.every(n => isStepDone[n] ?? true),
-    );
-    for (const task of record.tasks) {
-      if (task.state === 'blocked' && isReady[task.stepIndex]) {
-        task.state = 'waiting';
-      }
-    }
-    if (hasUnplacedTask(record)) {
-      this.enqueue(record);
-    }
-  }
-
-  private completeIfDone(record: JobRecord): void {
-    if (record.tasks.every(task => task.state === 'done')) {
-      const {samples} = record;
-      this.concludeJob(record, {kind: 'completed', samples});
-    }
-  }
-
-  /** Ends a job that can't be completed, and stops its runs. */
-  private failJob(record: JobRecord, reason: JobFailure): void {
-    if (record.isConcluded) {
-      return;
-    }
-    const nowMs = this.opts.clock.now();
-    for (const {run} of record.tasks) {
-      if (run) {
-        run.abandonedMs = nowMs;
-        // Nothing listens any more where the target of a run has crashed.
-        if (!run.isCrashRecorded) {
-          record.abandonedRuns.add(run);
-        }
-      }
-    }
-    // A refused job may be submitted elsewhere, a cancelled one may not.
-    const isRefusal = !mayHaveRun(record) && reason !== 'cancelledByCaller';
-    this.concludeJob(
-      record,
-      isRefusal ? refusal(refusalOf(reason)) : {kind: 'failed', reason},
-    );
-    for (const {run} of record.tasks) {
-      void run?.session.stop(run);
-    }
-  }
-
-  private concludeJob(record: JobRecord, outcome: JobOutcome): void {
-    if (record.isConcluded) {
-      return;
-    }
-    record.isConcluded = true;
-    if (this.jobs.delete(record.key)) {
-      this.openTasks -= record.tasks.length;
-    }
-    this.waiting = this.waiting.filter(other => other !== record);
-    this.reportOutcome(record, outcome);
-    if (record.abandonedRuns.size === 0) {
-      record.resolveOutcome(outcome);
-    } else {
-      void this.resolveOnceEnded(record, outcome);
-    }
-  }
-
-  /**
-   * Returns the outcome of a job when its abandoned runs have ended, since its
-   * caller may send it again at once, also to another scheduler; at the latest
-   * when the caller stops waiting.
-   */
-  private async resolveOnceEnded(
-    record: JobRecord,
-    outcome: JobOutcome,
-  ): Promise<void> {
-    const {clock} = this.opts;
-    const leftMs = Math.max(0, record.callerDeadlineAtMs - clock.now());
-    record.resolveAbandoned = () => record.resolveOutcome(outcome);
-    await clock.sleep(leftMs, this.endController.signal);
-    record.resolveOutcome(
-      outcome.kind === 'failed' && record.abandonedRuns.size > 0
-        ? {...outcome, mayRun: true}
-        : outcome,
-    );
-  }
-
-  private removeAbandonedRun(run: PlacedRun): void {
-    const {abandonedRuns, resolveAbandoned} = run.record;
-    if (abandonedRuns.delete(run) && abandonedRuns.size === 0) {
-      resolveAbandoned?.();
-    }
-  }
-
-  private reportOutcome(record: JobRecord, outcome: JobOutcome): void {
-    const {job, forecast} = record;
-    const tookMs = this.opts.clock.now() - record.receivedMs;
-    this.opts.onOutcome(job, outcome, tookMs, forecast);
-    this.opts.log.emit(
-      outcome.kind === 'refused' ? 'jobRefused' : 'jobScheduled',
-      {
-        jobId: job.id,
-        requester: record.requester,
-        shard: this.opts.shard,
-        outcome: outcome.kind,
-        reason: 'reason' in outcome ? outcome.reason : undefined,
-        tookMs: Math.round(tookMs),
-        kind: job.kind,
-        objectiveMs: Math.round(record.objectiveAtMs - record.receivedMs),
-        expectedMs: forecast && Math.round(forecast.endMs),
-        freeSlots: forecast?.freeSlots,
-        tasks: record.tasks.length,
-        done: record.tasks.filter(task => task.state === 'done').length,
-        waiting: this.waiting.length,
-        targets: this.sessions.size,
-      },
-    );
-  }
-
-  private handleFenced(session: FencedTarget<PlacedRun>, token: number): void {
-    if (this.host?.token !== token) {
+  private handleFenced(target: FencedTarget<PlacedRun>, token: number): void {
+    if (this.grant.token !== token) {
       return;
     }
     const {shard} = this.opts;
-    const target = session.report.targetId;
-    this.opts.log.emit('schedulerFenced', {shard, token, target});
-    if (!this.opts.ownsTarget(target)) {
-      this.abandonTarget(session);
+    const {targetId} = target.report;
+    this.opts.log.emit('schedulerFenced', {shard, token, target: targetId});
+    if (!this.opts.ownsTarget(targetId)) {
+      this.abandonTarget(target);
     } else {
       this.end();
       this.opts.onFenced(token);
     }
   }
 
-  private async watchLoop(ending: AbortSignal): Promise<void> {
-    while (!ending.aborted) {
-      if (this.jobs.size === 0) {
-        await this.watchSleeper.sleep(IDLE_WATCH_PERIOD_MS);
-      } else {
-        await this.opts.clock.sleep(WATCH_PERIOD_MS, ending);
-      }
-      if (ending.aborted) {
-        return;
-      }
-      const nowMs = this.opts.clock.now();
-      for (const record of [...this.jobs.values()]) {
-        this.checkJob(record, nowMs);
-      }
-      for (const session of [...this.sessions.values()]) {
-        this.checkSession(session, nowMs);
-      }
-      if (this.isLeaseShort || this.hasPhaseChanged()) {
-        this.schedulePlacement();
-      }
-    }
-  }
-
-  private checkJob(record: JobRecord, nowMs: number): void {
-    // A late answer is still of use, so the job is given up only when its
-    // caller is about to stop waiting.
-    const leftMs = record.callerDeadlineAtMs - ANSWER_MARGIN_MS - nowMs;
-    if (leftMs < 0) {
-      this.failJob(record, 'deadline');
-      return;
-    }
-    const isStuck = nowMs - record.receivedMs > CLAIM_TIMEOUT_MS;
-    if (isStuck && record.tasks.some(task => task.state === 'claimed')) {
-      this.failJob(record, 'schedulerLost');
-      return;
-    }
-    for (const task of record.tasks) {
-      if (record.isConcluded) {
-        return;
-      }
-      if (
-        task.state === 'waiting' &&
-        record.expectedMs[task.stepIndex]! > leftMs
-      ) {
-        this.failJob(record, 'deadline');
-      } else if (task.run) {
-        this.checkRun(record, task, task.run, nowMs, leftMs);
-      }
-    }
-  }
-
-  private checkRun(
-    record: JobRecord,
-    task: TaskRecord,
-    run: OrderedRun,
-    nowMs: number,
-    leftMs: number,
-  ): void {
-    const {session} = run;
-    const usualMs = record.expectedMs[task.stepIndex]!;
-    const ranMs = nowMs - run.orderedMs;
-    if (!run.isOverdueChecked && isOverdue(run, nowMs)) {
-      // The answer that listed the end of the run may have been lost.
-      run.isOverdueChecked = true;
-      void session.refreshRuns();
-    }
-    const mayRepeat = this.evacuationPhase.kind !== 'evacuated';
-    if (run.state === 'running' && ranMs > usualMs && mayRepeat) {
-      const longRun = this.describeLongRun(record, task, run, nowMs, leftMs);
-      if (isStraggler(longRun)) {
-        this.stopStraggler(task, run, longRun);
-      }
-    }
-  }
-
-  private describeLongRun(
-    record: JobRecord,
-    task: TaskRecord,
-    run: OrderedRun,
-    nowMs: number,
-    leftMs: number,
-  ): LongRun {
-    const {job, expectedMs, longestRunMs} = record;
-    const {stepIndex} = task;
-    const {session} = run;
-    const {needs} = job.steps[stepIndex]!;
-    return {
-      ranMs: nowMs - run.orderedMs,
-      expectedMs: expectedMs[stepIndex]!,
-      isExpectationReliable: this.estimator.hasEnoughSamples(job.kind),
-      knownNeedMs: longestRunMs[stepIndex]!,
-      isRepeated: task.longestStoppedMs > 0,
-      targetQuietMs: nowMs - Math.max(session.lastDoneMs, run.orderedMs),
-      isTargetSuspect: session.health.kind !== 'sound',
-      hasRoomElsewhere: [...this.sessionsInUse()].some(
-        other =>
-          other !== session &&
-          other.isAvailable &&
-          isAllowed(record, task, other) &&
-          fitsIn(needs, other.freeResources()),
-      ),
-      leftMs,
-    };
-  }
-
-  private stopStraggler(
-    task: TaskRecord,
-    run: OrderedRun,
-    longRun: LongRun,
-  ): void {
-    const {session} = run;
-    const {ranMs, expectedMs, knownNeedMs, targetQuietMs} = longRun;
-    task.longestStoppedMs = Math.max(task.longestStoppedMs, ranMs);
-    // A target that completed other runs meanwhile isn't blamed for the length
-    // of the task.
-    if (targetQuietMs >= ranMs) {
-      session.recordRunResult('failed', ranMs / expectedMs);
-    }
-    this.opts.log.emit('stragglerStopped', {
-      taskId: task.taskId,
-      target: session.report.targetId,
-      ranMs: Math.round(ranMs),
-      expectedMs: Math.round(expectedMs),
-      knownNeedMs: Math.round(knownNeedMs),
-      targetQuietMs: Math.round(targetQuietMs),
-      isRepeated: longRun.isRepeated,
-      isTargetSuspect: longRun.isTargetSuspect,
-    });
-    void session.stop(run);
-  }
-
-  private checkSession(session: TargetSession<PlacedRun>, nowMs: number): void {
-    session.updateHealth();
-    const isExpired = nowMs - session.lastContactMs > TARGET_EXPIRY_MS;
-    if (session.runs.size > 0) {
-      return;
-    }
-    if (session.isReleased) {
-      this.removeSession(session, 'moved');
-    } else if (session.report.state === 'gone') {
-      this.removeSession(session, 'left');
-    } else if (isExpired) {
-      this.removeSession(session, 'silent');
-    }
-  }
-
-  /** Stops using targets that the log has assigned to another shard. */
-  releaseMovedTargets(): void {
-    const nowMs = this.opts.clock.now();
-    for (const session of [...this.sessions.values()]) {
-      if (!this.opts.ownsTarget(session.report.targetId)) {
-        session.release();
-        this.checkSession(session, nowMs);
-      }
-    }
-  }
-
   /** Gives up a target that the scheduler of another shard has taken over. */
-  private abandonTarget(session: FencedTarget<PlacedRun>): void {
-    const jobs = new Set([...session.runs.values()].map(run => run.record));
-    for (const job of jobs) {
-      this.failJob(job, 'schedulerLost');
-    }
-    const current = this.sessions.get(session.report.targetId);
-    if (current && current === session) {
-      this.removeSession(current, 'moved');
+  private abandonTarget(target: FencedTarget<PlacedRun>): void {
+    const jobs = new Set([...target.runs.values()].map(run => run.record));
+    for (const record of jobs) {
+      this.jobEnds.failJob(record, 'schedulerLost');
     }
+    this.knownTargets.removeMoved(target);
   }
-
-  /** Forgets the runs of a removed session when their lease has ended. */
-  private async removeLostRuns(
-    session: TargetSession<PlacedRun>,
-  ): Promise<void> {
-    const {clock} = this.opts;
-    const leftMs = Math.max(0, session.latestRunEndMs - clock.now());
-    await clock.sleep(leftMs, this.endController.signal);
-    session.runs.forEach(run => this.removeOpenRun(run));
-    this.schedulePlacement();
-  }
-
-  private removeSession(
-    session: TargetSession<PlacedRun>,
-    reason: string,
-  ): void {
-    session.close();
-    if (session.runs.size > 0) {
-      void this.removeLostRuns(session);
-    }
-    this.sessions.delete(session.report.targetId);
-    this.opts.log.emit('targetGone', {target: session.report.targetId, reason});
-  }
-}
-
-/** Target session as a candidate for a task. */
-interface SessionCandidate {
-  readonly session: TargetSession<PlacedRun>;
-  readonly targetId: TargetId;
-  free: ReturnType<TargetSession['freeResources']>;
-  readonly slowness: number;
-  readonly isSuspect: boolean;
-  runs: number;
-  /** Whether it is kept for a task that has to run alone. */
-  isExclusive: boolean;
-}
-
-/** Counts slots for tasks of the mean size of the running ones. */
-function countSlots(candidates: readonly SessionCandidate[]): {
-  readonly totalSlots: number;
-  freeSlots: number;
-} {
-  const runs = candidates.flatMap(({session}) => [...session.runs.values()]);
-  const cores = runs.reduce((sum, run) => sum + run.needs.cores, 0);
-  const meanCores = cores / Math.max(1, runs.length);
-  if (meanCores === 0) {
-    return {totalSlots: Infinity, freeSlots: Infinity};
-  }
-  let totalSlots = 0;
-  let freeSlots = 0;
-  for (const candidate of candidates) {
-    totalSlots += Math.floor(
-      candidate.session.report.capacity.cores / meanCores,
-    );
-    freeSlots += Math.floor(candidate.free.cores / meanCores);
-  }
-  return {totalSlots, freeSlots};
-}
-
-/** Whether a run has taken clearly longer than expected on its target. */
-function isOverdue(run: OrderedRun, nowMs: number): boolean {
-  const ranMs = nowMs - run.orderedMs;
-  return ranMs > OVERDUE_FACTOR * run.expectedMs + OVERDUE_SLACK_MS;
-}
-
-function isAllowed(
-  record: JobRecord,
-  task: TaskRecord,
-  session: TargetSession,
-): boolean {
-  const {job} = record;
-  const step = job.steps[task.stepIndex]!;
-  return (
-    session.report.service === job.service &&
-    !task.excludedTargets.has(session.report.targetId) &&
-    (step.requiredLabel === undefined ||
-      session.report.labels.includes(step.requiredLabel)) &&
-    (step.maxPerTarget === undefined ||
-      countTasksOnTarget(record, task.stepIndex, session) < step.maxPerTarget)
-  );
-}
-
-/** Why a job is refused of which nothing has run, and that would have failed. */
-function refusalOf(reason: JobFailure): JobRefusal {
-  return reason === 'cancelled' || reason === 'evacuated' ? reason : 'tooLate';
-}
-
-function refusal(reason: JobRefusal, quote = EMPTY_QUOTE): JobOutcome {
-  return {kind: 'refused', reason, retryAfterMs: TAKEOVER_RETRY_MS, quote};
-}
-
-/** Time until the last task of a quote starts, in milliseconds. */
-function lastTaskStartMs(quote: JobQuote, record: JobRecord): number {
-  return Math.max(
-    ...quote.endsMs.map(
-      (endMs, n) => endMs - record.expectedMs[record.tasks[n]!.stepIndex]!,
-    ),
-  );
-}
-
-function countTasksOnTarget(
-  record: JobRecord,
-  stepIndex: number,
-  session: TargetSession,
-): number {
-  return record.tasks.filter(
-    task => task.stepIndex === stepIndex && task.run?.session === session,
-  ).length;
 }
