Unblock the next step when a claimed task is found done

A scheduler that took over a job whose step's last task had ended left the next step blocked, and the job was answered at its deadline.

--- a/packages/scheduling/src/earlier_runs/earlier_runs.ts
+++ b/packages/scheduling/src/earlier_runs/earlier_runs.ts
@@ -106,6 +106,7 @@
   /** Takes over claimed tasks whose targets have answered. */
   resolveClaims(record: JobRecord): void {
     const {targets, openRuns, progress} = this.parts;
+    let isAnyDone = false;
     for (const task of record.tasks) {
       const session =
         task.state === 'claimed' && task.claimedTargetId !== undefined
@@ -134,6 +135,7 @@
         }
         case 'ended':
           task.state = found.end.how === 'done' ? 'done' : 'waiting';
+          isAnyDone ||= task.state === 'done';
           task.nextRunNumber = Math.max(task.nextRunNumber, found.end.run + 1);
           break;
         case undefined:
@@ -150,6 +152,9 @@
         state: task.state,
       });
     }
+    if (isAnyDone) {
+      progress.unblockSteps(record);
+    }
     progress.completeIfDone(record);
   }
 
