Refuse a job at once that no known target of its service can run

A job that required a label that no target has was held until its deadline and then refused as too late; so was one whose later step needs resources that no target has. Both are now refused with noTargets and get no quote. While targets are still being discovered, such a job waits, and is refused when all are known if nothing of it has run.

--- a/packages/scheduling/src/_lib/create_job_record.ts
+++ b/packages/scheduling/src/_lib/create_job_record.ts
@@ -54,6 +54,7 @@
     longestRunMs: job.steps.map(() => 0),
     hasStarted: job.placed !== undefined,
     isConcluded: false,
+    lacksTarget: false,
     forecast: undefined,
     abandonedRuns: new Set(),
     resolveAbandoned: undefined,
--- a/packages/scheduling/src/_lib/job_record.ts
+++ b/packages/scheduling/src/_lib/job_record.ts
@@ -35,6 +35,11 @@
   /** Whether a run of one of its tasks has begun or may have begun. */
   hasStarted: boolean;
   isConcluded: boolean;
+  /**
+   * Whether none of the targets known at its arrival can run one of its steps,
+   * while others were still being discovered.
+   */
+  lacksTarget: boolean;
   /** Undefined until its admission is decided here. */
   forecast: Forecast | undefined;
   /** Runs that were given up with the job and aren't known to have ended. */
--- a/packages/scheduling/src/_test/target_simulation.ts
+++ b/packages/scheduling/src/_test/target_simulation.ts
@@ -85,6 +85,8 @@
   /** Holds that were sent to targets. */
   holds = 0;
   dataCentres = 1;
+  /** Period in which all targets report to a new scheduler, in milliseconds. */
+  reportMs = 0;
   evacuationPhase: EvacuationPhase = {kind: 'inService'};
   /** Targets that the log assigns to another shard. */
   readonly moved = new Set<TargetId>();
@@ -170,7 +172,7 @@
       timing: {
         maxLeaseMs: MAX_LEASE_MS,
         stopMs: STOP_MS,
-        reportMs: 0,
+        reportMs: this.reportMs,
       },
       shard: 'centro' as ShardId,
       estimator: RunTimeEstimator.create(),
--- a/packages/scheduling/src/job_admission/job_admission.ts
+++ b/packages/scheduling/src/job_admission/job_admission.ts
@@ -6,6 +6,7 @@
 import {admitJob} from '../admit_job/admit_job.js';
 import type {Admission} from '../admit_job/admission.js';
 import {expectedEnds} from '../expected_ends/expected_ends.js';
+import {lacksTarget} from '../lacking_target/lacks_target.js';
 import type {KnownTargets} from '../known_targets/known_targets.js';
 import type {LoadMeter} from '../load_meter/load_meter.js';
 import {reservedSlots} from '../reserved_slots/reserved_slots.js';
@@ -82,6 +83,20 @@
     };
   }
 
+  /**
+   * Whether no target will run a step of a job, as far as is known. While targets
+   * are still being discovered, the job is marked for another check instead.
+   *
+   * @param record - The job, of which nothing has begun.
+   * @param nowMs - Monotonic time in milliseconds.
+   * @returns True if it has to be refused.
+   */
+  isUnservable(record: JobRecord, nowMs: number): boolean {
+    const {targets} = this.parts;
+    record.lacksTarget = lacksTarget(record.job, targets);
+    return record.lacksTarget && !targets.isDiscovering(nowMs);
+  }
+
   /**
    * Decides whether a job is admitted, and records the forecast in it.
    *
--- a/packages/scheduling/src/job_ends/job_ends.ts
+++ b/packages/scheduling/src/job_ends/job_ends.ts
@@ -2,6 +2,7 @@
   InstanceId,
   JobFailure,
   JobOutcome,
+  JobQuote,
   ScheduledJob,
 } from '@papayarun/protocol';
 import type {JobRecord} from '../_lib/job_record.js';
@@ -84,6 +85,16 @@
     }
   }
 
+  /**
+   * Ends a job that could be admitted, and that others may start earlier. This is
+   * not final: the entry compares the quotes of all data centres and may submit the
+   * job, or a part of it, again as promised.
+   */
+  deferNew(record: JobRecord, quote: JobQuote): JobOutcome {
+    record.isConcluded = true;
+    return refusal('wouldWait', quote);
+  }
+
   /** Ends a job that was not admitted, and reports the refusal. */
   refuseNew(record: JobRecord, outcome: JobOutcome): JobOutcome {
     record.isConcluded = true;
--- a/packages/scheduling/src/job_watch/job_watch.ts
+++ b/packages/scheduling/src/job_watch/job_watch.ts
@@ -2,12 +2,15 @@
 import {fitsIn} from '@papayarun/protocol';
 import type {JobRecord} from '../_lib/job_record.js';
 import type {OrderedRun} from '../_lib/ordered_run.js';
+import {mayHaveRun} from '../_lib/may_have_run.js';
 import {Sleeper} from '../_lib/sleeper.js';
 import type {TaskRecord} from '../_lib/task_record.js';
 import {isAllowed} from '../allowed_target/is_allowed.js';
 import {isStraggler} from '../is_straggler/is_straggler.js';
 import type {LongRun} from '../is_straggler/long_run.js';
 import type {JobEnds} from '../job_ends/job_ends.js';
+import {refusal} from '../job_ends/refusal.js';
+import {lacksTarget} from '../lacking_target/lacks_target.js';
 import type {KnownTargets} from '../known_targets/known_targets.js';
 import type {OpenJobs} from '../open_jobs/open_jobs.js';
 import type {Placement} from '../placement/placement.js';
@@ -111,6 +114,9 @@
       jobEnds.failJob(record, problem);
       return;
     }
+    if (record.lacksTarget) {
+      this.checkTargets(record, nowMs);
+    }
     for (const task of record.tasks) {
       if (record.isConcluded) {
         return;
@@ -126,6 +132,21 @@
     }
   }
 
+  /**
+   * Refuses a job that still lacks a target when all targets are known. One that
+   * may have run goes on until its deadline, since such a target may be added.
+   */
+  private checkTargets(record: JobRecord, nowMs: number): void {
+    const {targets, jobEnds} = this.parts;
+    if (targets.isDiscovering(nowMs)) {
+      return;
+    }
+    record.lacksTarget = false;
+    if (!mayHaveRun(record) && lacksTarget(record.job, targets)) {
+      jobEnds.concludeJob(record, refusal('noTargets'));
+    }
+  }
+
   private checkRun(
     record: JobRecord,
     task: TaskRecord,
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -294,6 +294,9 @@
     if (!mayBegin(this.knownTargets.evacuationPhase, isPromised)) {
       return this.jobEnds.refuseNew(record, refusal('evacuated'));
     }
+    if (this.admission.isUnservable(record, nowMs)) {
+      return this.jobEnds.refuseNew(record, refusal('noTargets'));
+    }
     if (isPromised) {
       return undefined;
     }
@@ -304,10 +307,7 @@
     const waitMs = lastTaskStartMs(admission.quote, record);
     const slackMs = record.objectiveAtMs - nowMs - record.criticalPathMs;
     if (waitMs - this.opts.loopLagMs() > maxLocalWaitMs(slackMs)) {
-      // Not final: the entry compares the quotes of all data centres and may
-      // submit the job, or a part of it, again as promised.
-      record.isConcluded = true;
-      return refusal('wouldWait', admission.quote);
+      return this.jobEnds.deferNew(record, admission.quote);
     }
     return undefined;
   }
@@ -338,7 +338,9 @@
     }
     const nowMs = this.opts.clock.now();
     const {record, slots} = this.admission.prepareRecord(job, nowMs);
-    return this.admission.decideAdmission(record, slots, nowMs).quote;
+    return this.admission.isUnservable(record, nowMs)
+      ? EMPTY_QUOTE
+      : this.admission.decideAdmission(record, slots, nowMs).quote;
   }
 
   /**
