--- a/packages/scheduling/src/_lib/create_job_record.ts
+++ b/packages/scheduling/src/_lib/create_job_record.ts
@@ -54,6 +54,7 @@
     longestRunMs: job.steps.map(() => 0),
     hasStarted: job.placed !== undefined,
     isConcluded: false,
+    lacksTarget: false,
     forecast: undefined,
     abandonedRuns: new Set(),
     resolveAbandoned: undefined,
@@ -66,7 +67,6 @@
       const taskId = `${job.id}.0.${n}.${step.firstIndex + i}` as TaskId;
       const previous = placed.get(taskId);
       record.tasks.push({
-        job: record,
         taskId,
         stepIndex: n,
         state: previous
