Believe a restart from elsewhere only when the known target no longer answers

A heartbeat of another writer, under the id of a target that was up, named another address and a later time of birth.

Cause: Scheduler.acceptReport compared times of birth only. A later one closed the listed runs of the session as lost and moved the session to the address in the report; the target's own reports counted as those of an earlier incarnation.

Change: a report from another address that is not of the session's incarnation makes the scheduler ask the target that it knows (DoubtedReports). It follows the report if nothing listens at the known address, after two unanswered holds, or at once if the target is already silent; the time of birth doesn't matter then. A departure from elsewhere is ignored. reportTarget answers accepted: false meanwhile. Restarts at the same address and incarnations that the target's own answers have named are believed as before.

--- a/packages/protocol/src/event_log/event_catalogue.ts
+++ b/packages/protocol/src/event_log/event_catalogue.ts
@@ -303,6 +303,11 @@
     level: 'info',
     text: 'target runs as a new incarnation; the event has how many runs were lost, and of how many it is asked',
   },
+  targetReportDoubted: {
+    number: 6022,
+    level: 'warn',
+    text: 'report named another address and time of birth for a known target; the event has both, and whether it is believed',
+  },
   targetsAssigned: {
     number: 6016,
     level: 'info',
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -97,6 +97,7 @@
 export * from './scheduling/run_time_sample.js';
 export * from './scheduling/scheduled_job.js';
 export * from './scheduling/scheduled_step.js';
+export * from './scheduling/is_foreign_report.js';
 export * from './scheduling/target_report.js';
 export * from './scheduling/task_loss.js';
 export * from './shard/data_centre_of_shard.js';
--- a/packages/scheduling/src/_lib/target_session.ts
+++ b/packages/scheduling/src/_lib/target_session.ts
@@ -89,7 +89,7 @@
    * Time of birth of the target's incarnation, by its reports or its answers;
    * 0 if none had it.
    */
-  private bornMs: number;
+  bornMs: number;
   /** Restarts of the target that were noticed in this session. */
   private restarts = 0;
   /** Whether the report is that of an earlier incarnation. */
@@ -472,9 +472,11 @@
 
   /**
    * Asks for the state of the runs at once, besides a hold that may be waiting.
+   *
+   * @returns Whether the target answered, or the session is closed.
    */
-  async refreshRuns(): Promise<void> {
-    await this.hold(false);
+  refreshRuns(): Promise<boolean> {
+    return this.hold(false);
   }
 
   /** Ends an ejection whose time has passed. */
--- a/packages/scheduling/src/_test/target_simulation.ts
+++ b/packages/scheduling/src/_test/target_simulation.ts
@@ -52,6 +52,8 @@
   readonly cut: Set<TargetId>;
   /** Targets that have crashed, at whose addresses nothing listens. */
   readonly crashed: Set<TargetId>;
+  /** Ports of the targets that have moved; nothing listens at their others. */
+  readonly movedTo: Map<TargetId, number>;
   /** Tasks that crash each target that starts them, a moment later. */
   readonly deadly: Set<TaskId>;
 }
@@ -72,6 +74,7 @@
     lateOrdersOutliveTarget: false,
     cut: new Set(),
     crashed: new Set(),
+    movedTo: new Map(),
     deadly: new Set(),
   };
   /** Tasks that ran on each target when it crashed, in the order of the crashes. */
@@ -287,7 +290,7 @@
     to: TargetEndpoint,
     carryOut: (target: EmulatedTarget) => OrderResult,
   ): Promise<OrderResult> {
-    if (this.faults.crashed.has(to.targetId)) {
+    if (this.refuses(to)) {
       await this.clock.sleep(REFUSED_ORDER_MS);
       return REFUSED;
     }
@@ -318,6 +321,12 @@
     return res;
   }
 
+  /** Whether nothing listens at the address of a target. */
+  private refuses({targetId, port}: TargetEndpoint): boolean {
+    const {crashed, movedTo} = this.faults;
+    return crashed.has(targetId) || (movedTo.get(targetId) ?? port) !== port;
+  }
+
   private async hold(
     to: TargetEndpoint,
     order: HoldOrder,
@@ -325,8 +334,7 @@
     this.holds++;
     const endMs = this.clock.now() + order.waitMs;
     const hasCrashed = (): boolean =>
-      this.faults.crashed.has(to.targetId) ||
-      this.targets.get(to.targetId) !== target;
+      this.refuses(to) || this.targets.get(to.targetId) !== target;
     await this.clock.sleep(1);
     const target = this.targets.get(to.targetId)!;
     if (hasCrashed()) {
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -21,6 +21,7 @@
 import {hasUnplacedTask} from '../_lib/has_unplaced_task.js';
 import {DoneTasks} from '../_lib/done_tasks.js';
 import {DepartedTargets} from '../_lib/departed_targets.js';
+import {DoubtedReports} from '../_lib/doubted_reports.js';
 import {compareWaitingJobs} from '../_lib/compare_waiting_jobs.js';
 import {jobKey} from '../job_key/job_key.js';
 import {jobSizeProblem} from '../job_size/job_size_problem.js';
@@ -119,6 +120,7 @@
   private readonly jobs = new Map<string, JobRecord>();
   private readonly sessions = new Map<TargetId, TargetSession>();
   private readonly departedTargets = DepartedTargets.create();
+  private readonly doubtedReports = DoubtedReports.create();
   private readonly doneTasks: DoneTasks;
   /** Latest run of each task that is not known to have ended. */
   private readonly openRuns = new Map<TaskId, RunRecord>();
@@ -267,7 +269,8 @@
    * Processes a report of a target.
    *
    * @param report - The report.
-   * @returns False if this scheduler holds no grant and ignores the report.
+   * @returns False if this scheduler holds no grant, or doubts the report; it has
+   *   ignored the report so far.
    */
   acceptReport(report: TargetReport): boolean {
     if (!this.host) {
@@ -276,10 +279,13 @@
     if (this.departedTargets.has(report)) {
       return true;
     }
+    const session = this.sessions.get(report.targetId);
+    if (session && this.doubtedReports.isDoubted(session, report)) {
+      return this.doubtedReports.check(session, report, this.host);
+    }
     if (report.state === 'gone') {
       this.departedTargets.add(report, this.opts.clock.now());
     }
-    const session = this.sessions.get(report.targetId);
     const incarnation = session?.incarnationOf(report);
     if (incarnation === 'earlier') {
       return true;
