Keep a target's own reports beside one from elsewhere under its id

Cause: TargetDirectory kept one report for each id, that of the latest birth, whatever its address, and took the target's own ones for those of an earlier incarnation.

Change: the latest report from another address and incarnation is kept beside the known one. Both are forwarded and listed, since only the scheduler can ask the known target. The other one takes its place when the scheduler accepts it, or after 15 s without the known one. A departure from elsewhere is acknowledged only if the scheduler accepts it. A deregistration, which names only the id, holds for both.

--- a/packages/daemon/src/state_instance/target_directory.test.ts
+++ b/packages/daemon/src/state_instance/target_directory.test.ts
@@ -14,6 +14,7 @@
 const CENTRO = 'centro' as DataCentreId;
 const ENTRY = 'entry' as InstanceId;
 const STATE = 'state' as InstanceId;
+const T1 = 't1' as TargetId;
 
 function report(overrides: Partial<TargetReport> = {}): TargetReport {
   return {
@@ -56,6 +57,28 @@
     await this.clock.advance(1_000);
     return result!;
   }
+
+  /** Has the scheduler answer each report, and returns those that it gets. */
+  recordForwarded(accepted: boolean): TargetReport[] {
+    const reports: TargetReport[] = [];
+    this.entry.onCall('reportTarget', (_from, req) => {
+      reports.push(req.report);
+      // A scheduler accepts the reports of the target that it knows.
+      return Promise.resolve({accepted: accepted || req.report.port === 1});
+    });
+    return reports;
+  }
+
+  /** Lists the targets as a scheduler that begins does. */
+  async list(): Promise<readonly TargetReport[]> {
+    let reports: readonly TargetReport[] = [];
+    const shard = 'centro' as ShardId;
+    void this.entry
+      .call(STATE, 'listTargets', {dataCentre: CENTRO, shard}, {timeoutMs: 500})
+      .then(res => (reports = res.reports));
+    await this.clock.advance(100);
+    return reports;
+  }
 }
 
 describe('TargetDirectory', () => {
@@ -91,10 +114,10 @@
     await fixture.accept(report({sequence: 5, state: 'draining'}));
     await fixture.accept(report({sequence: 4}));
     await fixture.accept(report({bornMs: 9, sequence: 9}));
-    const latestReport = fixture.directory.latestReport('t1' as TargetId);
+    const latestReport = fixture.directory.latestReport(T1);
     expect(latestReport).toMatchObject({sequence: 5, state: 'draining'});
     await fixture.accept(report({bornMs: 11}));
-    expect(fixture.directory.latestReport('t1' as TargetId)?.bornMs).toBe(11);
+    expect(fixture.directory.latestReport(T1)?.bornMs).toBe(11);
   });
 
   it('forwards reports without changes less often, and any change or new scheduler at once', async () => {
@@ -119,6 +142,90 @@
     expect(forwarded).toBe(4);
   });
 
+  // A report of another writer took the place of the target's own ones, which
+  // were dropped from then on since they were born earlier (review/9).
+  it('keeps a target beside a report from elsewhere, and lists and forwards both', async () => {
+    const fixture = new Fixture();
+    const forwarded = fixture.recordForwarded(false);
+    const foreign = report({port: 9, bornMs: 50});
+    await fixture.accept(report());
+    await fixture.accept(foreign);
+    await fixture.accept(report({sequence: 2, state: 'draining'}));
+    expect(fixture.directory.latestReport(T1)).toMatchObject({
+      sequence: 2,
+      state: 'draining',
+      port: 1,
+    });
+    expect(forwarded.map(({port}) => port)).toEqual([1, 9, 1]);
+    expect((await fixture.list()).map(({port}) => port)).toEqual([1, 9]);
+  });
+
+  it('does not acknowledge the departure of a target from elsewhere unless its scheduler accepts it', async () => {
+    const fixture = new Fixture();
+    fixture.recordForwarded(false);
+    await fixture.accept(report());
+    const foreign = report({port: 9, bornMs: 50, state: 'draining'});
+    expect(await fixture.accept(foreign)).toBe(false);
+    expect(fixture.directory.latestReport(T1)?.state).toBe('ready');
+  });
+
+  it('follows a target that has moved as soon as its scheduler does', async () => {
+    const fixture = new Fixture();
+    fixture.recordForwarded(true);
+    await fixture.accept(report());
+    await fixture.accept(report({port: 9, bornMs: 50}));
+    expect(fixture.directory.latestReport(T1)?.port).toBe(9);
+    // A delayed report of the earlier incarnation.
+    await fixture.accept(report({sequence: 2}));
+    expect(fixture.directory.latestReport(T1)?.port).toBe(9);
+  });
+
+  it('follows a target that has moved once the earlier address is silent, without any scheduler', async () => {
+    const fixture = new Fixture();
+    fixture.scheduler = undefined;
+    await fixture.accept(report());
+    for (let sequence = 1; sequence <= 5; sequence++) {
+      await fixture.clock.advance(3_500);
+      await fixture.accept(report({port: 9, bornMs: 50, sequence}));
+      fixture.directory.sweep();
+    }
+    expect(fixture.directory.latestReport(T1)?.port).toBe(9);
+    expect((await fixture.list()).map(({port}) => port)).toEqual([9]);
+  });
+
+  it('keeps one report from elsewhere, the latest, and only for a while', async () => {
+    const fixture = new Fixture();
+    fixture.scheduler = undefined;
+    await fixture.accept(report());
+    for (let port = 10; port < 40; port++) {
+      void fixture.directory.accept(report({port, bornMs: 100 + port}));
+    }
+    expect((await fixture.list()).map(({port}) => port)).toEqual([1, 39]);
+    await fixture.clock.advance(10_000);
+    await fixture.accept(report({sequence: 2}));
+    await fixture.clock.advance(10_000);
+    fixture.directory.sweep();
+    expect((await fixture.list()).map(({port}) => port)).toEqual([1]);
+  });
+
+  it('lists neither report of a target that has been deregistered', async () => {
+    const fixture = new Fixture();
+    const forwarded = fixture.recordForwarded(false);
+    await fixture.accept(report());
+    await fixture.accept(report({port: 9, bornMs: 50}));
+    void fixture.directory.deregister(T1);
+    await fixture.clock.advance(1_000);
+    expect(fixture.directory.latestReport(T1)).toMatchObject({
+      port: 1,
+      state: 'gone',
+    });
+    const departures = forwarded.filter(({state}) => state === 'gone');
+    expect(departures.map(({port}) => port)).toEqual([9, 1]);
+    expect((await fixture.list()).map(({state}) => state)).toEqual(['gone']);
+    await fixture.directory.deregister('t2' as TargetId);
+    expect(fixture.directory.size).toBe(1);
+  });
+
   it('removes the report of a silent target', async () => {
     const fixture = new Fixture();
     fixture.scheduler = undefined;
--- a/packages/daemon/src/state_instance/target_directory.ts
+++ b/packages/daemon/src/state_instance/target_directory.ts
@@ -1,6 +1,6 @@
 import {isDeepStrictEqual} from 'node:util';
 import type {ShardId, TargetId, TargetReport} from '@papayarun/protocol';
-import {shardIdOf} from '@papayarun/protocol';
+import {isForeignReport, shardIdOf} from '@papayarun/protocol';
 import type {TargetDirectoryOptions} from './target_directory_options.js';
 
 /** Time after which the report of a silent target expires, in milliseconds. */
@@ -22,14 +22,23 @@
   readonly atMs: number;
 }
 
+interface ReceivedReport {
+  readonly report: TargetReport;
+  readonly receivedMs: number;
+}
+
 /**
  * Keeps the latest report of each target and forwards it to its scheduler.
+ *
+ * @description A report from another address and incarnation than the known one
+ * may be that of a target that has moved, or of another writer. Only the
+ * scheduler can ask the known one, so until it has decided both are listed and
+ * forwarded.
  */
 export class TargetDirectory {
-  private readonly reports = new Map<
-    TargetId,
-    {readonly report: TargetReport; readonly receivedMs: number}
-  >();
+  private readonly reports = new Map<TargetId, ReceivedReport>();
+  /** Latest report of each target from elsewhere than the known one. */
+  private readonly foreignReports = new Map<TargetId, ReceivedReport>();
   /** Last report of each target that its scheduler has accepted. */
   private readonly forwarded = new Map<TargetId, ForwardedReport>();
 
@@ -72,6 +81,9 @@
    */
   async accept(report: TargetReport): Promise<boolean> {
     const latestReport = this.reports.get(report.targetId)?.report;
+    if (latestReport && this.isUndecided(latestReport, report)) {
+      return this.acceptForeign(latestReport, report);
+    }
     if (latestReport && isNewer(latestReport, report)) {
       return true;
     }
@@ -79,10 +91,7 @@
     this.reports.set(report.targetId, {report, receivedMs});
     const shard = this.opts.shardOf(report.targetId, report.dataCentre);
     if (shard === undefined) {
-      // No scheduler uses the target yet, but one of an earlier version may.
-      return report.state === 'ready'
-        ? true
-        : this.forward(shardIdOf(report.dataCentre, 0), report);
+      return this.acceptWithoutShard(report);
     }
     if (report.state === 'ready' && this.isKnown(shard, report, receivedMs)) {
       return true;
@@ -91,27 +100,126 @@
     return report.state === 'ready' ? true : forwarded;
   }
 
-  /** Forwards the latest report of a target to the scheduler of its new shard. */
+  /**
+   * Records that a target has left, whichever of its reports is that of the
+   * target; the request names only its id.
+   *
+   * @param targetId - The target.
+   */
+  async deregister(targetId: TargetId): Promise<void> {
+    const reports = [this.foreignReports, this.reports].flatMap(
+      map => map.get(targetId)?.report ?? [],
+    );
+    // In this order: a scheduler without a session with the target would bar
+    // the incarnation of the other report.
+    for (const report of reports) {
+      await this.accept({...report, state: 'gone'});
+    }
+  }
+
+  /** Forwards the latest reports of a target to the scheduler of its new shard. */
   handleAssigned(targetId: TargetId, shard: ShardId): void {
-    const report = this.latestReport(targetId);
-    if (report) {
-      void this.forward(shard, report);
+    for (const map of [this.reports, this.foreignReports]) {
+      const received = map.get(targetId);
+      if (received) {
+        void this.forward(shard, received.report);
+      }
     }
   }
 
-  /** Removes the expired reports of silent targets. */
+  /**
+   * Removes the expired reports of silent targets. A report from elsewhere takes
+   * the place of one that has expired.
+   */
   sweep(): void {
     const nowMs = this.opts.clock.now();
-    for (const [id, {receivedMs}] of this.reports) {
-      if (nowMs - receivedMs > REPORT_TTL_MS) {
+    const isExpired = ({receivedMs}: ReceivedReport): boolean =>
+      nowMs - receivedMs > REPORT_TTL_MS;
+    for (const [id, received] of this.foreignReports) {
+      if (isExpired(received)) {
+        this.foreignReports.delete(id);
+      }
+    }
+    for (const [id, received] of this.reports) {
+      if (isExpired(received)) {
         this.reports.delete(id);
         this.forwarded.delete(id);
+        const other = this.foreignReports.get(id);
+        if (other) {
+          this.foreignReports.delete(id);
+          this.reports.set(id, other);
+        }
       }
     }
   }
 
+  /**
+   * Whether a report may be that of another writer. After a departure, the time
+   * of birth alone decides.
+   */
+  private isUndecided(known: TargetReport, report: TargetReport): boolean {
+    return known.state !== 'gone' && isForeignReport(known, report);
+  }
+
+  /**
+   * Stores and forwards a report from elsewhere than the known one, which is
+   * replaced only if the scheduler follows the report.
+   */
+  private async acceptForeign(
+    known: TargetReport,
+    report: TargetReport,
+  ): Promise<boolean> {
+    const {targetId} = report;
+    const previous = this.foreignReports.get(targetId)?.report;
+    if (
+      previous &&
+      !isForeignReport(previous, report) &&
+      isNewer(previous, report)
+    ) {
+      return true;
+    }
+    if (report.state === 'gone') {
+      this.foreignReports.delete(targetId);
+    } else {
+      const receivedMs = this.opts.clock.now();
+      this.foreignReports.set(targetId, {report, receivedMs});
+    }
+    const shard = this.opts.shardOf(targetId, report.dataCentre);
+    if (shard === undefined) {
+      return this.acceptWithoutShard(report);
+    }
+    const forwarded = this.forwardForeign(shard, known, report);
+    return report.state === 'ready' ? true : forwarded;
+  }
+
+  private async forwardForeign(
+    shard: ShardId,
+    known: TargetReport,
+    report: TargetReport,
+  ): Promise<boolean> {
+    // Without a scheduler, nobody has asked the known target.
+    const isAsked = this.opts.grantOf(shard) !== undefined;
+    const isAccepted = await this.forward(shard, report);
+    const foreign = this.foreignReports.get(report.targetId);
+    // A scheduler of an earlier version accepts outdated reports as well.
+    const isMove =
+      isAsked && report.bornMs > known.bornMs && foreign?.report === report;
+    if (isAccepted && isMove) {
+      this.foreignReports.delete(report.targetId);
+      this.reports.set(report.targetId, foreign);
+    }
+    return isAccepted;
+  }
+
+  private acceptWithoutShard(report: TargetReport): Promise<boolean> {
+    // No scheduler uses the target yet, but one of an earlier version may.
+    return report.state === 'ready'
+      ? Promise.resolve(true)
+      : this.forward(shardIdOf(report.dataCentre, 0), report);
+  }
+
   private reportsIn(shard: ShardId): TargetReport[] {
-    return [...this.reports.values()]
+    return [...this.reports.values(), ...this.foreignReports.values()]
       .map(({report}) => report)
       .filter(
         ({targetId, dataCentre}) =>
