--- a/packages/daemon/src/state_instance/state_instance.ts
+++ b/packages/daemon/src/state_instance/state_instance.ts
@@ -83,6 +83,11 @@
     return this.replica.isLeader;
   }
 
+  /** Latest configuration that this replica has applied, if there is one. */
+  get configuration(): AcceptedConfiguration | undefined {
+    return this.store.state.configuration;
+  }
+
   /**
    * Replaces the whole configuration.
    *
