List ten invalid fields of a body at most

What callers saw: a body of 262,144 bytes that is wrong throughout, such as 131,000 numbers in place of steps, got an answer of 8.4 million characters, and a line of the log of that length.

Cause: parseJson joined the problems of all fields.

Change: the first ten are listed, with the number of the others. The field that a refusal names is the first one, as before.

--- a/packages/daemon/src/http/parse_json.test.ts
+++ b/packages/daemon/src/http/parse_json.test.ts
@@ -23,4 +23,21 @@
       '$.name',
     );
   });
+
+  // A body of 262,144 bytes got an answer, and a line of the log, of 8 million
+  // characters.
+  it('lists the first ten invalid fields', () => {
+    const body = Buffer.from(JSON.stringify(Array(100_000).fill(1)));
+    const names = z.array(z.string());
+    const messageOf = (bytes: Uint8Array): string => {
+      try {
+        return JSON.stringify(parseJson(bytes, names));
+      } catch (err) {
+        return (err as DispatchError).refusal.message;
+      }
+    };
+    expect(messageOf(body)).toMatch(/^\$\.0: .*; \$\.9: .*; and 99990 more$/);
+    expect(messageOf(body).length).toBeLessThan(2_000);
+    expect(messageOf(Buffer.from('[1,"a",2]'))).not.toContain('more');
+  });
 });
--- a/packages/daemon/src/http/parse_json.ts
+++ b/packages/daemon/src/http/parse_json.ts
@@ -1,13 +1,19 @@
 import {decodeJson, DispatchError} from '@papayarun/protocol';
 import type {z} from 'zod';
 
+/**
+ * Most invalid fields that a refusal lists. A body of 262,144 bytes can have
+ * 131,000 of them, whose list had 8 million characters.
+ */
+const MAX_LISTED_FIELDS = 10;
+
 /**
  * Parses a JSON body and validates it against a schema.
  *
  * @param body - Request body.
  * @param schema - Schema that the document must match.
  * @returns The validated data.
- * @throws DispatchError with `notRun`, naming every invalid field.
+ * @throws DispatchError with `notRun`, naming the first invalid fields.
  * @example
  * const announcement = parseJson(req.body, announcementSchema);
  */
@@ -23,10 +29,13 @@
   if (result.success) {
     return result.data;
   }
-  const problems = result.error.issues.map(issue => ({
+  const {issues} = result.error;
+  const problems = issues.slice(0, MAX_LISTED_FIELDS).map(issue => ({
     path: ['$', ...issue.path].join('.'),
     message: issue.message,
   }));
-  const message = problems.map(p => `${p.path}: ${p.message}`).join('; ');
+  const list = problems.map(p => `${p.path}: ${p.message}`).join('; ');
+  const unlisted = issues.length - problems.length;
+  const message = unlisted > 0 ? `${list}; and ${unlisted} more` : list;
   throw DispatchError.notRun('badRequest', message, {field: problems[0]!.path});
 }
