Draw reports from elsewhere beside a running job

Guards against other ways in which reports under the id of a target that is up start its task elsewhere, or end its use: 100 series of one to twelve drawn reports, with any state, time of birth, number and capacity.

--- a/packages/scheduling/src/scheduler/foreign_reports.test.ts
+++ b/packages/scheduling/src/scheduler/foreign_reports.test.ts
@@ -1,4 +1,5 @@
 import type {ScheduledJob, TargetId, TargetReport} from '@papayarun/protocol';
+import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {jobOf} from '../_test/job_of.js';
 import {reportOf} from '../_test/report_of.js';
@@ -98,6 +99,47 @@
     expect(sim.holds - before).toBeLessThanOrEqual(2);
   });
 
+  it('starts no task twice and loses no target, whatever it says', async () => {
+    const drawn = fc.record({
+      port: fc.constantFrom(OTHER_PORT, 10),
+      bornMs: fc.constantFrom(0, 2, 50),
+      sequence: fc.nat({max: 5}),
+      state: fc.constantFrom('ready', 'draining', 'gone'),
+      capacity: fc.constantFrom(reportOf(T1).capacity, {
+        cores: 0,
+        memoryMb: 0,
+        accelerators: 0,
+      }),
+    });
+    const waitMs = fc.integer({min: 0, max: 200});
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(fc.tuple(drawn, waitMs), {minLength: 1, maxLength: 12}),
+        async reports => {
+          const {sim, scheduler, outcome} = await runningJob();
+          for (const [report, ms] of reports) {
+            scheduler.acceptReport(foreignReport(report));
+            await sim.clock.advance(ms);
+          }
+          const end = await waitForOutcome(sim.clock, outcome, 4_000);
+          expect(end.kind).toBe('completed');
+          expect(sim.startsOf(JOB.id)).toBe(1);
+          const before = sim.targets.get(T1)!.starts.length;
+          const jobs = [2, 3, 4, 5].map(n => scheduler.submit(jobOfOneTask(n)));
+          await sim.clock.advance(100);
+          expect(sim.targets.get(T1)!.starts.length).toBeGreaterThan(before);
+          const ends = await Promise.all(
+            jobs.map(job => waitForOutcome(sim.clock, job, 7_000)),
+          );
+          expect(ends.map(({kind}) => kind)).toEqual(
+            Array(jobs.length).fill('completed'),
+          );
+        },
+      ),
+      {seed: 5, numRuns: 100},
+    );
+  });
+
   // A target that was lost comes back elsewhere under its id.
   it('is believed at once if nothing listens at the known address', async () => {
     const {sim, scheduler, outcome} = await runningJob();
