--- a/packages/scheduling/src/_lib/target_session.ts
+++ b/packages/scheduling/src/_lib/target_session.ts
@@ -109,6 +109,19 @@
     return this.incarnation.isConfirmed;
   }
 
+  /**
+   * Time of birth of the target's incarnation, by its reports or its answers; 0 if
+   * none had it.
+   */
+  get bornMs(): number {
+    return this.incarnation.bornMs;
+  }
+
+  /** Monotonic time since which the target is silent; undefined if it isn't. */
+  get silentSinceMs(): number | undefined {
+    return this.contact.silentSinceMs;
+  }
+
   /** Monotonic time of the last answer or report of the target. */
   get lastContactMs(): number {
     return this.contact.lastContactMs;
@@ -303,8 +316,10 @@
 
   /**
    * Asks for the state of the runs at once, besides a hold that may be waiting.
+   *
+   * @returns Whether the target answered, or the session is closed.
    */
-  refreshRuns(): Promise<void> {
+  refreshRuns(): Promise<boolean> {
     return this.holds.refreshRuns();
   }
 
--- a/packages/scheduling/src/known_targets/known_targets.ts
+++ b/packages/scheduling/src/known_targets/known_targets.ts
@@ -1,5 +1,6 @@
 import type {TargetId, TargetReport} from '@papayarun/protocol';
 import {DepartedTargets} from '../_lib/departed_targets.js';
+import {DoubtedReports} from '../_lib/doubted_reports.js';
 import type {FencedTarget} from '../_lib/fenced_target.js';
 import type {PlacedRun} from '../_lib/placed_run.js';
 import {TargetSession} from '../_lib/target_session.js';
@@ -34,6 +35,7 @@
 export class KnownTargets {
   private readonly sessions = new Map<TargetId, TargetSession<PlacedRun>>();
   private readonly departedTargets = DepartedTargets.create();
+  private readonly doubtedReports = DoubtedReports.create();
   /** Monotonic time at which the latest new target was added. */
   private lastTargetAddedMs = -Infinity;
 
@@ -123,11 +125,27 @@
    *
    * @param report - The report.
    * @param host - Services and callbacks for the session of a new target.
+   * @returns False if the report is doubted; it is ignored so far.
    */
-  acceptReport(report: TargetReport, host: TargetSessionHost<PlacedRun>): void {
+  acceptReport(
+    report: TargetReport,
+    host: TargetSessionHost<PlacedRun>,
+  ): boolean {
     if (this.departedTargets.has(report)) {
-      return;
+      return true;
+    }
+    const known = this.sessions.get(report.targetId);
+    if (known && this.doubtedReports.isDoubted(known, report)) {
+      return this.doubtedReports.check(known, report, host);
     }
+    this.recordReport(report, host);
+    return true;
+  }
+
+  private recordReport(
+    report: TargetReport,
+    host: TargetSessionHost<PlacedRun>,
+  ): void {
     if (report.state === 'gone') {
       this.departedTargets.add(report, this.opts.clock.now());
     }
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -200,14 +200,13 @@
    * Processes a report of a target.
    *
    * @param report - The report.
-   * @returns False if this scheduler holds no grant and ignores the report.
+   * @returns False if this scheduler holds no grant, or doubts the report; it has
+   *   ignored the report so far.
    */
   acceptReport(report: TargetReport): boolean {
-    if (!this.host) {
-      return false;
-    }
-    this.knownTargets.acceptReport(report, this.host);
-    return true;
+    return this.host
+      ? this.knownTargets.acceptReport(report, this.host)
+      : false;
   }
 
   /**
--- a/packages/scheduling/src/target_holds/target_holds.ts
+++ b/packages/scheduling/src/target_holds/target_holds.ts
@@ -219,9 +219,11 @@
 
   /**
    * Asks for the state of the runs at once, besides a hold that may be waiting.
+   *
+   * @returns Whether the target answered, or the session is closed.
    */
-  async refreshRuns(): Promise<void> {
-    await this.hold(false);
+  refreshRuns(): Promise<boolean> {
+    return this.hold(false);
   }
 
   /**
--- a/packages/scheduling/src/target_incarnation/target_incarnation.ts
+++ b/packages/scheduling/src/target_incarnation/target_incarnation.ts
@@ -21,7 +21,7 @@
    * Time of birth of the target's incarnation, by its reports or its answers;
    * 0 if none had it.
    */
-  private bornMs: number;
+  bornMs: number;
   private noticedRestarts = 0;
   /** Whether the report is that of an earlier incarnation. */
   private isReportOutdated = false;
