Propose no order on an evacuation anew after a second

A withdrawn order could be restored: a copy waits for the answer of a leader that was cut off, for up to 6 s. The operator has sent it elsewhere and withdrawn it meanwhile, but the end of its connection is held up as well, so the copy seems to have a sender. It was rejected by its serial number, then proposed with the newer one.

An operator turns to another instance after a second without an answer, so older orders are answered 503 instead.

--- a/packages/daemon/src/evacuations/evacuation_orders.test.ts
+++ b/packages/daemon/src/evacuations/evacuation_orders.test.ts
@@ -23,7 +23,7 @@
   /** State as far as this instance has applied it. */
   store = {state: EMPTY_CONTROL_STATE};
   /** Called before a command is applied. */
-  beforeApply = (): void => undefined;
+  beforeApply = (): void | Promise<void> => undefined;
   afterNextReading = (): Promise<number> => Promise.resolve(this.clock.now());
   isAnswerLost = false;
 
@@ -49,16 +49,16 @@
     }).state;
   }
 
-  private propose(command: ControlCommand): Promise<ControlResult> {
+  private async propose(command: ControlCommand): Promise<ControlResult> {
     this.proposed.push(command);
-    this.beforeApply();
+    await this.beforeApply();
     const {state, result} = applyCommand(this.log, command);
     this.log = state;
     if (this.isAnswerLost) {
       this.isAnswerLost = false;
-      return Promise.reject(DispatchError.mayHaveRun('noQuorum', 'link lost'));
+      throw DispatchError.mayHaveRun('noQuorum', 'link lost');
     }
-    return Promise.resolve(result);
+    return result;
   }
 }
 
@@ -139,6 +139,24 @@
     expect(fixture.proposed).toHaveLength(1);
   });
 
+  // Its sender had turned to another instance long before, but the end of its
+  // connection was held up like the answer of the leader.
+  it('does not restore a withdrawn order whose sender seems to wait for too long', async () => {
+    const fixture = new Fixture();
+    fixture.beforeApply = () => {
+      fixture.beforeApply = () => undefined;
+      fixture.applyElsewhere(true);
+      fixture.applyElsewhere(false);
+      fixture.store.state = fixture.log;
+      return fixture.clock.advance(1_100);
+    };
+    await expect(
+      fixture.orders.set(CENTRO, true, UNLIMITED),
+    ).rejects.toMatchObject({refusal: {verdict: {kind: 'notRun'}}});
+    expect(isEvacuated(fixture.log, CENTRO)).toBe(false);
+    expect(fixture.proposed).toHaveLength(1);
+  });
+
   // A replica that was a moment behind answered 503 to a withdrawal.
   it('proposes an order anew that was rejected, once it has caught up', async () => {
     const fixture = new Fixture();
--- a/packages/daemon/src/evacuations/evacuation_orders.ts
+++ b/packages/daemon/src/evacuations/evacuation_orders.ts
@@ -14,6 +14,11 @@
  * than the second after which an operator turns to another instance.
  */
 const MAX_READING_AGE_MS = 200;
+/**
+ * Age from which an order is not proposed anew, in milliseconds: its operator has
+ * turned to another instance, even if the end of the connection isn't read yet.
+ */
+const MAX_ORDER_AGE_MS = 1_000;
 /** Longest wait for the order that has overtaken a command, in milliseconds. */
 const APPLY_TIMEOUT_MS = 500;
 const APPLY_POLL_INTERVAL_MS = 5;
@@ -76,6 +81,7 @@
     signal: AbortSignal,
   ): Promise<void> {
     const {clock, control, log} = this.opts;
+    const arrivedMs = clock.now();
     this.checkPeers();
     for (;;) {
       // Known before what has arrived is read: a process that was paused meanwhile
@@ -108,6 +114,12 @@
         return;
       }
       await this.waitUntilApplied(dataCentre, serial);
+      if (clock.now() - arrivedMs > MAX_ORDER_AGE_MS) {
+        throw DispatchError.notRun(
+          'cancelled',
+          'the data centre got another order since this one arrived',
+        );
+      }
     }
   }
 
