Propose no first evacuation before all live peers can be known

A state instance that had just started, as in a rolling upgrade, proposed the first order although an entry of an earlier version was alive: it had not heard of it yet, and earlier versions fail to apply the command. The first order is now answered 503 until the instance has run for peerTimeoutMs; the operator sends it again.

--- a/packages/daemon/src/evacuations/evacuation_orders.test.ts
+++ b/packages/daemon/src/evacuations/evacuation_orders.test.ts
@@ -11,6 +11,7 @@
 import {EvacuationOrders} from './evacuation_orders.js';
 
 const CENTRO = 'centro' as DataCentreId;
+const PEER_TIMEOUT_MS = 900;
 const UNLIMITED = new AbortController().signal;
 
 /** A log of one replica, and a state instance that lags behind it. */
@@ -38,8 +39,15 @@
         heartbeat,
       })),
     afterNextReading: () => this.afterNextReading(),
+    peerTimeoutMs: PEER_TIMEOUT_MS,
   });
 
+  /** Waits until the live peers of a new instance are known. */
+  async settle(): Promise<this> {
+    await this.clock.advance(PEER_TIMEOUT_MS);
+    return this;
+  }
+
   applyElsewhere(isEvacuated: boolean): void {
     const fromSerial = this.log.evacuations[CENTRO]?.serial ?? 0;
     const command = {dataCentre: CENTRO, isEvacuated, fromSerial, atMs: 0};
@@ -64,7 +72,7 @@
 
 describe('EvacuationOrders', () => {
   it('acknowledges an order again that is in force', async () => {
-    const fixture = new Fixture();
+    const fixture = await new Fixture().settle();
     await fixture.orders.set(CENTRO, true, UNLIMITED);
     await fixture.orders.set(CENTRO, true, UNLIMITED);
     expect(fixture.log.evacuations[CENTRO]?.serial).toBe(1);
@@ -72,7 +80,7 @@
 
   // The operator sends the order again, as it got no answer.
   it('acknowledges an order whose leader ended after the commit', async () => {
-    const fixture = new Fixture();
+    const fixture = await new Fixture().settle();
     fixture.isAnswerLost = true;
     await expect(
       fixture.orders.set(CENTRO, true, UNLIMITED),
@@ -83,7 +91,7 @@
 
   // A copy that a paused process read after the withdrawal evacuated it again.
   it('proposes no order whose sender has left', async () => {
-    const fixture = new Fixture();
+    const fixture = await new Fixture().settle();
     const sender = new AbortController();
     fixture.afterNextReading = () => {
       sender.abort();
@@ -96,7 +104,7 @@
   });
 
   it('reads again what has arrived if the process was paused since', async () => {
-    const fixture = new Fixture();
+    const fixture = await new Fixture().settle();
     const sender = new AbortController();
     let readings = 0;
     fixture.afterNextReading = async () => {
@@ -117,7 +125,7 @@
   // The order was sent again at another instance, then withdrawn, and this copy was
   // held up on its way to the leader.
   it('does not restore an order that was withdrawn while a copy was on its way', async () => {
-    const fixture = new Fixture();
+    const fixture = await new Fixture().settle();
     const sender = new AbortController();
     fixture.beforeApply = () => {
       fixture.beforeApply = () => undefined;
@@ -142,7 +150,7 @@
   // Its sender had turned to another instance long before, but the end of its
   // connection was held up like the answer of the leader.
   it('does not restore a withdrawn order whose sender seems to wait for too long', async () => {
-    const fixture = new Fixture();
+    const fixture = await new Fixture().settle();
     fixture.beforeApply = () => {
       fixture.beforeApply = () => undefined;
       fixture.applyElsewhere(true);
@@ -159,7 +167,7 @@
 
   // A replica that was a moment behind answered 503 to a withdrawal.
   it('proposes an order anew that was rejected, once it has caught up', async () => {
-    const fixture = new Fixture();
+    const fixture = await new Fixture().settle();
     fixture.applyElsewhere(true);
     const answer = fixture.orders.set(CENTRO, false, UNLIMITED);
     void fixture.clock.sleep(20).then(() => {
@@ -173,7 +181,7 @@
 
   // An instance of an earlier version failed to apply the command.
   it('proposes nothing while a live instance would not apply it', async () => {
-    const fixture = new Fixture();
+    const fixture = await new Fixture().settle();
     fixture.peers.push({appliesEvacuations: true}, {});
     await expect(
       fixture.orders.set(CENTRO, true, UNLIMITED),
@@ -183,4 +191,25 @@
     await fixture.orders.set(CENTRO, true, UNLIMITED);
     expect(isEvacuated(fixture.log, CENTRO)).toBe(true);
   });
+
+  // An instance that had just started proposed the command before it had heard of an
+  // entry instance of an earlier version, which failed to apply it.
+  it('proposes nothing for the first time before it can know its live peers', async () => {
+    const fixture = new Fixture();
+    await expect(
+      fixture.orders.set(CENTRO, true, UNLIMITED),
+    ).rejects.toMatchObject({refusal: {verdict: {kind: 'notRun'}}});
+    expect(fixture.proposed).toEqual([]);
+    await fixture.settle();
+    await fixture.orders.set(CENTRO, true, UNLIMITED);
+    expect(isEvacuated(fixture.log, CENTRO)).toBe(true);
+  });
+
+  it('serves an instance that has just started once an order was made before', async () => {
+    const fixture = new Fixture();
+    fixture.applyElsewhere(true);
+    fixture.store.state = fixture.log;
+    await fixture.orders.set(CENTRO, false, UNLIMITED);
+    expect(isEvacuated(fixture.log, CENTRO)).toBe(false);
+  });
 });
--- a/packages/daemon/src/evacuations/evacuation_orders.ts
+++ b/packages/daemon/src/evacuations/evacuation_orders.ts
@@ -41,6 +41,11 @@
    * monotonic time up to which it has, in milliseconds.
    */
   readonly afterNextReading: () => Promise<number>;
+  /**
+   * Time after its last heartbeat for which a peer counts as live, in milliseconds;
+   * a new instance has heard of all live peers after this time.
+   */
+  readonly peerTimeoutMs: number;
 }
 
 /**
@@ -51,7 +56,11 @@
  * sender waits, and in place of the order that was in force when it arrived.
  */
 export class EvacuationOrders {
-  private constructor(private readonly opts: EvacuationOrdersOptions) {}
+  private readonly createdMs: number;
+
+  private constructor(private readonly opts: EvacuationOrdersOptions) {
+    this.createdMs = opts.clock.now();
+  }
 
   /**
    * Creates the orders.
@@ -131,6 +140,13 @@
     if (Object.keys(this.opts.store.state.evacuations).length > 0) {
       return;
     }
+    const {clock, peerTimeoutMs} = this.opts;
+    if (clock.now() - this.createdMs < peerTimeoutMs) {
+      throw DispatchError.notRun(
+        'internal',
+        'this instance has just started and may not know all live peers yet',
+      );
+    }
     const unable = this.opts
       .livePeers()
       .find(({heartbeat}) => !heartbeat.appliesEvacuations);
--- a/packages/daemon/src/state_instance/state_instance.ts
+++ b/packages/daemon/src/state_instance/state_instance.ts
@@ -273,6 +273,7 @@
       control: () => this.node.control,
       livePeers: () => membership.livePeers(),
       afterNextReading: () => afterNextReading(opts.clock),
+      peerTimeoutMs: opts.cfg.peerTimeoutMs,
     });
     store.onChange((_before, after) => this.evacuations.update(after));
     this.granter = SchedulerGranter.create({
