Leave no grace period to an instance that starts after an evacuation

An entry that was restarted long after the order, and was granted a shard, could start tasks there for another half of evacuationMs: of jobs that were handed over to it by an entry that had been cut off. It took the moment at which it read the order from the log for the begin of the grace period. The age of orders in its first control state counts now; instances that learn late after a partition keep the whole period.

--- a/packages/daemon/src/evacuations/evacuation_tracker.test.ts
+++ b/packages/daemon/src/evacuations/evacuation_tracker.test.ts
@@ -51,4 +51,38 @@
     tracker.update(stateOf(3, true));
     expect(tracker.phaseOf(CENTRO).kind).toBe('evacuated');
   });
+
+  // It started tasks of jobs that were handed over to it long after the bound.
+  it('leaves no grace period, or the rest of it, to an instance that starts after the order', async () => {
+    const clock = VirtualClock.create();
+    const log = SilentLog.create();
+    const atMs = clock.wallNow();
+    const {evacuations} = stateOf(1, true);
+    const ordered = {[CENTRO]: {...evacuations[CENTRO]!, atMs}};
+    await clock.advance(1_500);
+    const early = EvacuationTracker.create({clock, log, evacuationMs: 5_000});
+    early.update({evacuations: ordered});
+    expect(early.phaseOf(CENTRO).kind).toBe('leaving');
+    await clock.advance(1_000);
+    expect(early.phaseOf(CENTRO).kind).toBe('evacuated');
+    const late = EvacuationTracker.create({clock, log, evacuationMs: 5_000});
+    expect(late.update({evacuations: ordered})).toEqual([CENTRO]);
+    expect(late.phaseOf(CENTRO).kind).toBe('evacuated');
+  });
+
+  // Jobs that it runs since before would fail as soon as it is in contact again.
+  it('has a whole grace period if it learns of the order late, after a partition', async () => {
+    const clock = VirtualClock.create();
+    const log = SilentLog.create();
+    const atMs = clock.wallNow();
+    const tracker = EvacuationTracker.create({clock, log, evacuationMs: 5_000});
+    tracker.update({evacuations: {}});
+    await clock.advance(60_000);
+    tracker.update({
+      evacuations: {[CENTRO]: {serial: 1, isEvacuated: true, atMs}},
+    });
+    expect(tracker.phaseOf(CENTRO).kind).toBe('leaving');
+    await clock.advance(2_500);
+    expect(tracker.phaseOf(CENTRO).kind).toBe('evacuated');
+  });
 });
--- a/packages/daemon/src/evacuations/evacuation_tracker.ts
+++ b/packages/daemon/src/evacuations/evacuation_tracker.ts
@@ -63,6 +63,9 @@
    *
    * @description An order that was withdrawn before this instance learned of it
    * counts as none, so that targets that were in use aren't taken back by degrees.
+   * Orders in the first control state were given before this instance started or had
+   * any shard, so the time since then counts towards the grace period. Only wall
+   * clocks tell that time; one that is behind leaves more of the period.
    * @param state - Control state.
    * @returns Data centres whose evacuation has just become known.
    */
@@ -70,6 +73,7 @@
     if (this.appliedEvacuations === evacuations) {
       return [];
     }
+    const isFirst = this.appliedEvacuations === undefined;
     this.appliedEvacuations = evacuations;
     const evacuated: DataCentreId[] = [];
     for (const [id, evacuation] of Object.entries(evacuations)) {
@@ -81,7 +85,7 @@
         continue;
       }
       const {clock, log} = this.opts;
-      const learnedMs = clock.now();
+      const learnedMs = clock.now() - (isFirst ? this.ageMs(atMs) : 0);
       this.tracked.set(dataCentre, {serial, isEvacuated, atMs, learnedMs});
       if (isEvacuated) {
         evacuated.push(dataCentre);
--- a/packages/scheduling/src/evacuation_phase/known_evacuation.ts
+++ b/packages/scheduling/src/evacuation_phase/known_evacuation.ts
@@ -5,7 +5,7 @@
   readonly isEvacuated: boolean;
   /**
    * Monotonic time at which this instance learned of the order, or of its
-   * withdrawal, in milliseconds.
+   * withdrawal, in milliseconds; earlier for an order from before it started.
    */
   readonly learnedMs: number;
 }
