Follow an evacuation that was withdrawn and ordered again unseen

The metric oldest_evacuation_ms gave the age of the first order, and no event named the serial number in force, when an instance learned of both the withdrawal and the second order at once: it took the unchanged state for the same order. It now records the order in force, without a new grace period.

--- a/packages/daemon/src/evacuations/evacuation_tracker.test.ts
+++ b/packages/daemon/src/evacuations/evacuation_tracker.test.ts
@@ -85,4 +85,22 @@
     await clock.advance(2_500);
     expect(tracker.phaseOf(CENTRO).kind).toBe('evacuated');
   });
+
+  // The metric gave the age of an order that was withdrawn long ago.
+  it('gives the age of the order in force if it was withdrawn and given again unseen', async () => {
+    const clock = VirtualClock.create();
+    const log = SilentLog.create();
+    const tracker = EvacuationTracker.create({clock, log, evacuationMs: 5_000});
+    const inForce = (serial: number): void => {
+      const atMs = clock.wallNow();
+      tracker.update({
+        evacuations: {[CENTRO]: {serial, isEvacuated: true, atMs}},
+      });
+    };
+    inForce(1);
+    await clock.advance(60_000);
+    inForce(3);
+    expect(tracker.gauges()['oldest_evacuation_ms']).toBe(0);
+    expect(log.count('evacuationInForce')).toBe(2);
+  });
 });
--- a/packages/daemon/src/evacuations/evacuation_tracker.ts
+++ b/packages/daemon/src/evacuations/evacuation_tracker.ts
@@ -81,14 +81,20 @@
       const {serial, isEvacuated, atMs} = evacuation;
       const known = this.tracked.get(dataCentre);
       const wasEvacuated = known?.isEvacuated ?? false;
-      if (known?.serial === serial || wasEvacuated === isEvacuated) {
+      if (known?.serial === serial || !(wasEvacuated || isEvacuated)) {
         continue;
       }
       const {clock, log} = this.opts;
-      const learnedMs = clock.now() - (isFirst ? this.ageMs(atMs) : 0);
+      // An order that was withdrawn and given again unseen leaves no new grace period.
+      const learnedMs =
+        wasEvacuated && isEvacuated
+          ? known!.learnedMs
+          : clock.now() - (isFirst ? this.ageMs(atMs) : 0);
       this.tracked.set(dataCentre, {serial, isEvacuated, atMs, learnedMs});
       if (isEvacuated) {
-        evacuated.push(dataCentre);
+        if (!wasEvacuated) {
+          evacuated.push(dataCentre);
+        }
         const ageMs = this.ageMs(atMs);
         log.emit('evacuationInForce', {evacuated: dataCentre, serial, ageMs});
       } else {
