Answer 405 to each other method on the path of an evacuation

HEAD, PATCH and OPTIONS were answered 404, as if the data centre was unknown: only GET and PUT had a route.

--- a/packages/daemon/src/http/http_route.ts
+++ b/packages/daemon/src/http/http_route.ts
@@ -5,7 +5,8 @@
  * Handler of requests with a given method and path.
  */
 export interface HttpRoute {
-  readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
+  readonly method:
+    'GET' | 'HEAD' | 'POST' | 'PUT' | 'PATCH' | 'DELETE' | 'OPTIONS';
   /** Path pattern; a segment `:name` is a parameter, a last `*` matches the rest. */
   readonly path: string;
   /**
