Refuse a job as evacuated if its service has targets nowhere else

While a data centre was evacuated, a job whose service has targets only there was answered 503 noTargets: the last scheduler that was asked has none. The entry can't see the targets of evacuated data centres, so it answers `evacuated` whenever a data centre is evacuated and the others have no targets.

Both new tests fail before; all of job_submitter.test.ts and scheduler_finder.test.ts pass.

--- a/packages/daemon/src/entry_instance/_test/entry_group.ts
+++ b/packages/daemon/src/entry_instance/_test/entry_group.ts
@@ -370,6 +370,7 @@
       reachable,
       reachableInService: reachable,
       areAllEvacuated: () => false,
+      isAnyEvacuated: () => false,
       // Without a scheduler of its own data centre, an entry takes another one.
       firstChoices: () => {
         const schedulers = reachable();
--- a/packages/daemon/src/entry_instance/job_submitter.test.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.test.ts
@@ -38,6 +38,7 @@
 };
 const NEVER = new AbortController().signal;
 const EVACUATED: JobOutcome = {...NOT_STARTED, reason: 'evacuated'};
+const NO_TARGETS: JobOutcome = {...NOT_STARTED, reason: 'noTargets'};
 /** Longest time for which runs of a lost scheduler go on. */
 const LEASE_MS = 1_070;
 
@@ -178,6 +179,7 @@
   }
 
   areAllEvacuated = false;
+  isAnyEvacuated = false;
 
   private finder(): SchedulerFinder {
     const localScheduler = (): ShardScheduler =>
@@ -192,6 +194,7 @@
           ? [localScheduler()]
           : this.others.map(shard => schedulerOf(shard, REMOTE)),
       areAllEvacuated: () => this.areAllEvacuated,
+      isAnyEvacuated: () => this.isAnyEvacuated,
       isTakeoverRefusal: () => this.isTakingOver,
       recordGrantChange: () => undefined,
       waitForSuccessor: (_shard, _former, latestMs) => {
@@ -245,6 +248,25 @@
     expect(fixture.remoteJobs).toHaveLength(1);
   });
 
+  // The answer said that the service has no targets, which are evacuated.
+  it.each([
+    ['before it has learned of it', false],
+    ['when it has learned of it', true],
+  ])(
+    'refuses a job as evacuated if no other data centre has targets, %s',
+    async (_, isKnown) => {
+      const fixture = new Fixture();
+      fixture.isAnyEvacuated = isKnown;
+      fixture.scheduleLocally = () =>
+        Promise.resolve(isKnown ? NO_TARGETS : EVACUATED);
+      fixture.scheduleRemotely = () => Promise.resolve(NO_TARGETS);
+      expect(await fixture.submit(jobOf(4))).toMatchObject({
+        kind: 'refused',
+        reason: 'evacuated',
+      });
+    },
+  );
+
   it('refuses a job at once when all data centres are evacuated', async () => {
     const fixture = new Fixture();
     fixture.areAllEvacuated = true;
--- a/packages/daemon/src/entry_instance/job_submitter.ts
+++ b/packages/daemon/src/entry_instance/job_submitter.ts
@@ -251,7 +251,11 @@
         waitedMs > Math.min(MAX_TAKEOVER_WAIT_MS, job.leftMs) ||
         signal.aborted
       ) {
-        return {scheduler, outcome: refusal};
+        // The targets of the job's service may all be in evacuated data centres.
+        const isEvacuated =
+          refusal.reason === 'noTargets' &&
+          (evacuated.size > 0 || finder.isAnyEvacuated());
+        return {scheduler, outcome: isEvacuated ? EVACUATED_REFUSAL : refusal};
       }
       await clock.sleep(TAKEOVER_RETRY_DELAY_MS, signal);
       tried.clear();
--- a/packages/daemon/src/entry_instance/scheduler_finder.test.ts
+++ b/packages/daemon/src/entry_instance/scheduler_finder.test.ts
@@ -119,6 +119,8 @@
     expect(choicesWith(['centro', 'serra', 'ribeira'], [])).toEqual([]);
     const finder = finderAt(clock, store, names as InstanceId[], ['centro']);
     expect(finder.areAllEvacuated()).toBe(false);
+    expect(finder.isAnyEvacuated()).toBe(true);
+    expect(finderAt(clock, store).isAnyEvacuated()).toBe(false);
     const all = ['centro', 'serra', 'ribeira'];
     expect(finderAt(clock, store, [], all).areAllEvacuated()).toBe(true);
     expect(finderAt(clock).areAllEvacuated()).toBe(false);
--- a/packages/daemon/src/entry_instance/scheduler_finder.ts
+++ b/packages/daemon/src/entry_instance/scheduler_finder.ts
@@ -123,6 +123,14 @@
     );
   }
 
+  /** Whether there are schedulers in evacuated data centres. */
+  isAnyEvacuated(): boolean {
+    const shards = Object.keys(this.opts.store.state.schedulers) as ShardId[];
+    return shards.some(shard =>
+      this.opts.isEvacuated(dataCentreOfShard(shard)),
+    );
+  }
+
   /** Whether a refusal is due to a scheduler takeover that is in progress. */
   isTakeoverRefusal(reason: JobRefusal): boolean {
     const nowMs = this.opts.clock.now();
