Take targets of each service back from the begin

For up to 1.5 s after a withdrawal, jobs of a service whose targets came late in the order of all targets of the shard were held, if need be until their deadline, and then refused tooLate: none of its targets was among the first quarter, and a forecast without a target admits the job. The share now counts per service.

The new test fails before (refused at the deadline, as the test keeps the share at a quarter); 8 of 8 tests of evacuated_targets.test.ts pass.

--- a/packages/scheduling/src/returned_targets/returned_targets.ts
+++ b/packages/scheduling/src/returned_targets/returned_targets.ts
@@ -4,7 +4,7 @@
  *
  * @description Their order is fixed, so that a target that is in use stays in use as
  * the share grows.
- * @param targets - Targets of a shard.
+ * @param targets - Targets of a service in a shard.
  * @param idOf - Id of a target.
  * @param share - Share of the targets that are in use, from 0 to 1.
  * @returns The targets in use, at least one if there is any.
--- a/packages/scheduling/src/scheduler/evacuated_targets.test.ts
+++ b/packages/scheduling/src/scheduler/evacuated_targets.test.ts
@@ -1,3 +1,4 @@
+import type {ServiceId} from '@papayarun/protocol';
 import {describe, expect, it} from 'vitest';
 import {jobOf} from '../_test/job_of.js';
 import {startScheduler} from '../_test/start_scheduler.js';
@@ -122,4 +123,21 @@
     const all = [...sim.targets.values()].filter(t => t.starts.length > 0);
     expect(all.length).toBeGreaterThan(2);
   });
+
+  // Jobs of a service were refused whose targets came last in the order.
+  it('uses targets of each service from the begin', async () => {
+    const sim = new TargetSimulation(1);
+    const scheduler = sim.scheduler();
+    scheduler.begin(1);
+    const service = 'outro' as ServiceId;
+    scheduler.acceptReport({...sim.addTarget(), service});
+    scheduler.acceptReport({...sim.addTarget(), service});
+    scheduler.acceptReport(sim.addTarget());
+    await sim.clock.advance(20);
+    sim.evacuationPhase = {kind: 'returning', share: 0.25};
+    const outcome = scheduler.submit(jobOf(1, {slackMs: 1_000}));
+    expect(await waitForOutcome(sim.clock, outcome, MAX_WAIT_MS)).toMatchObject(
+      {kind: 'completed'},
+    );
+  });
 });
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -497,16 +497,21 @@
     }
   }
 
-  /** Sessions with the targets that are in use. */
+  /** Sessions with the targets that are in use, some of each service. */
   private sessionsInUse(): Iterable<TargetSession> {
     const phase = this.evacuationPhase;
-    return phase.kind === 'returning'
-      ? returnedTargets(
-          this.sessions.values(),
-          session => session.report.targetId,
-          phase.share,
-        )
-      : this.sessions.values();
+    if (phase.kind !== 'returning') {
+      return this.sessions.values();
+    }
+    const sessions = [...this.sessions.values()];
+    const services = new Set(sessions.map(({report}) => report.service));
+    return [...services].flatMap(service =>
+      returnedTargets(
+        sessions.filter(({report}) => report.service === service),
+        ({report}) => report.targetId,
+        phase.share,
+      ),
+    );
   }
 
   /** Whether the records of a job's tasks would take too much memory. */
