Leave unavailable targets out of the share that is taken back

After a withdrawal, jobs were held for up to 1.5 s, if need be until their deadline, when the first targets of the shard did not answer, such as after maintenance: they made up the share, and the others were not used. The share now counts available targets.

The new test fails before (failed: deadline); 9 of 9 tests of evacuated_targets.test.ts pass.

--- a/packages/scheduling/src/scheduler/evacuated_targets.test.ts
+++ b/packages/scheduling/src/scheduler/evacuated_targets.test.ts
@@ -140,4 +140,18 @@
       {kind: 'completed'},
     );
   });
+
+  // Jobs were held until targets were in use beside those that had not come back.
+  it('leaves out targets that do not answer', async () => {
+    const sim = new TargetSimulation(1);
+    const scheduler = await startScheduler(sim, 4);
+    const [first] = [...sim.targets.keys()].sort();
+    sim.faults.cut.add(first!);
+    await sim.clock.advance(5_000);
+    sim.evacuationPhase = {kind: 'returning', share: 0.25};
+    const outcome = scheduler.submit(jobOf(1, {slackMs: 1_000}));
+    expect(await waitForOutcome(sim.clock, outcome, MAX_WAIT_MS)).toMatchObject(
+      {kind: 'completed'},
+    );
+  });
 });
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -497,7 +497,10 @@
     }
   }
 
-  /** Sessions with the targets that are in use, some of each service. */
+  /**
+   * Sessions with the targets that are in use: while the data centre is taken back, a
+   * share of the available targets of each service.
+   */
   private sessionsInUse(): Iterable<TargetSession> {
     const phase = this.evacuationPhase;
     if (phase.kind !== 'returning') {
@@ -507,7 +510,9 @@
     const services = new Set(sessions.map(({report}) => report.service));
     return [...services].flatMap(service =>
       returnedTargets(
-        sessions.filter(({report}) => report.service === service),
+        sessions.filter(
+          other => other.isAvailable && other.report.service === service,
+        ),
         ({report}) => report.targetId,
         phase.share,
       ),
