Export how many shards may start tasks

Operators could not see from the metrics whether an evacuation had taken effect in the schedulers of the data centre: evacuated_data_centres says only that the order is known. The gauge startable_shards of entries is 0 from the end of the grace period on.

The new test fails before (no such gauge); all of local_schedulers.test.ts pass.

--- a/packages/daemon/src/entry_instance/local_schedulers.test.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.test.ts
@@ -10,6 +10,7 @@
   ShardId,
 } from '@papayarun/protocol';
 import {SilentLog, VirtualClock} from '@papayarun/test_kit';
+import type {EvacuationPhase} from '@papayarun/scheduling';
 import {Scheduler} from '@papayarun/scheduling';
 import {describe, expect, it, vi} from 'vitest';
 import {LocalSchedulers} from './local_schedulers.js';
@@ -46,6 +47,7 @@
 class Fixture {
   readonly clock = VirtualClock.create();
   readonly log = SilentLog.create();
+  evacuationPhase: EvacuationPhase = {kind: 'inService'};
   /** Reads what has arrived on the connections. */
   read: () => Promise<void> = () => Promise.resolve();
   private readonly schedulers = LocalSchedulers.create(this.options());
@@ -86,6 +88,7 @@
         recordForecastError: ignore,
         recordFreeSlots: ignore,
       },
+      evacuationPhase: () => this.evacuationPhase,
       loopLagMs: () => 0,
       heardMs: () => undefined,
       isHolderActive: () => false,
@@ -100,6 +103,19 @@
 }
 
 describe('LocalSchedulers', () => {
+  // Operators could not see whether an evacuation had taken effect everywhere.
+  it('counts the shards that may start tasks', () => {
+    const fixture = new Fixture();
+    const startable = (): unknown => fixture.local.gauges()['startable_shards'];
+    expect(startable()).toBe(1);
+    fixture.evacuationPhase = {kind: 'leaving'};
+    expect(startable()).toBe(1);
+    fixture.evacuationPhase = {kind: 'evacuated'};
+    expect(startable()).toBe(0);
+    fixture.evacuationPhase = {kind: 'returning', share: 0.25};
+    expect(startable()).toBe(1);
+  });
+
   it('answers the submission of a job at once when it is cancelled', async () => {
     const fixture = new Fixture();
     const answer = fixture.submit(ENTRY, JOB);
--- a/packages/daemon/src/entry_instance/local_schedulers.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers.ts
@@ -413,6 +413,7 @@
     return {
       scheduler_token: Math.max(0, ...all.map(({token}) => token ?? 0)),
       scheduled_shards: this.shards.length,
+      startable_shards: this.mayStart ? this.shards.length : 0,
       waiting_jobs: this.waitingJobs,
       oldest_wait_ms: Math.max(0, ...all.map(({oldestWaitMs}) => oldestWaitMs)),
       running_tasks: this.sum(scheduler => scheduler.runningTasks),
@@ -420,6 +421,11 @@
     };
   }
 
+  /** Whether tasks may be started in the data centre. */
+  private get mayStart(): boolean {
+    return this.opts.evacuationPhase?.().kind !== 'evacuated';
+  }
+
   /** Gives up all shards; their jobs pass to the next schedulers. */
   end(): void {
     for (const scheduler of this.schedulers.values()) {
