--- a/packages/daemon/src/entry_instance/scheduler_finder.ts
+++ b/packages/daemon/src/entry_instance/scheduler_finder.ts
@@ -107,10 +107,10 @@
    */
   firstChoices(refusing: ReadonlySet<DataCentreId>): ShardScheduler[] {
     const {dataCentre: own} = this.opts.cfg;
-    const isOwnLeft = this.opts.isEvacuated(own) || refusing.has(own);
+    const isOwnExcluded = this.opts.isEvacuated(own) || refusing.has(own);
     return this.reachableInService().filter(
       ({dataCentre}) =>
-        !refusing.has(dataCentre) && (isOwnLeft || dataCentre === own),
+        !refusing.has(dataCentre) && (isOwnExcluded || dataCentre === own),
     );
   }
 
