--- a/packages/daemon/src/entry_instance/scheduler_finder.ts
+++ b/packages/daemon/src/entry_instance/scheduler_finder.ts
@@ -107,10 +107,10 @@
    */
   firstChoices(refusing: ReadonlySet<DataCentreId>): ShardScheduler[] {
     const {dataCentre: own} = this.opts.cfg;
-    const isOwnLeft = this.opts.isEvacuated(own) || refusing.has(own);
+    const isOwnExcluded = this.opts.isEvacuated(own) || refusing.has(own);
     return this.reachableInService().filter(
       ({dataCentre}) =>
-        !refusing.has(dataCentre) && (isOwnLeft || dataCentre === own),
+        !refusing.has(dataCentre) && (isOwnExcluded || dataCentre === own),
     );
   }
 
@@ -123,6 +123,14 @@
     );
   }
 
+  /** Whether there are schedulers in evacuated data centres. */
+  isAnyEvacuated(): boolean {
+    const shards = Object.keys(this.opts.store.state.schedulers) as ShardId[];
+    return shards.some(shard =>
+      this.opts.isEvacuated(dataCentreOfShard(shard)),
+    );
+  }
+
   /** Whether a refusal is due to a scheduler takeover that is in progress. */
   isTakeoverRefusal(reason: JobRefusal): boolean {
     const nowMs = this.opts.clock.now();
--- a/packages/daemon/src/evacuations/evacuation_orders.ts
+++ b/packages/daemon/src/evacuations/evacuation_orders.ts
@@ -14,6 +14,11 @@
  * than the second after which an operator turns to another instance.
  */
 const MAX_READING_AGE_MS = 200;
+/**
+ * Age from which an order is not proposed anew, in milliseconds: its operator has
+ * turned to another instance, even if the end of the connection isn't read yet.
+ */
+const MAX_ORDER_AGE_MS = 1_000;
 /** Longest wait for the order that has overtaken a command, in milliseconds. */
 const APPLY_TIMEOUT_MS = 500;
 const APPLY_POLL_INTERVAL_MS = 5;
@@ -36,6 +41,11 @@
    * monotonic time up to which it has, in milliseconds.
    */
   readonly afterNextReading: () => Promise<number>;
+  /**
+   * Time after its last heartbeat for which a peer counts as live, in milliseconds;
+   * a new instance has heard of all live peers after this time.
+   */
+  readonly peerTimeoutMs: number;
 }
 
 /**
@@ -46,7 +56,11 @@
  * sender waits, and in place of the order that was in force when it arrived.
  */
 export class EvacuationOrders {
-  private constructor(private readonly opts: EvacuationOrdersOptions) {}
+  private readonly createdMs: number;
+
+  private constructor(private readonly opts: EvacuationOrdersOptions) {
+    this.createdMs = opts.clock.now();
+  }
 
   /**
    * Creates the orders.
@@ -76,6 +90,7 @@
     signal: AbortSignal,
   ): Promise<void> {
     const {clock, control, log} = this.opts;
+    const arrivedMs = clock.now();
     this.checkPeers();
     for (;;) {
       // Known before what has arrived is read: a process that was paused meanwhile
@@ -110,6 +125,12 @@
         return;
       }
       await this.waitUntilApplied(dataCentre, serial);
+      if (clock.now() - arrivedMs > MAX_ORDER_AGE_MS) {
+        throw DispatchError.notRun(
+          'cancelled',
+          'the data centre got another order since this one arrived',
+        );
+      }
     }
   }
 
@@ -121,6 +142,13 @@
     if (Object.keys(this.opts.store.state.evacuations).length > 0) {
       return;
     }
+    const {clock, peerTimeoutMs} = this.opts;
+    if (clock.now() - this.createdMs < peerTimeoutMs) {
+      throw DispatchError.notRun(
+        'internal',
+        'this instance has just started and may not know all live peers yet',
+      );
+    }
     const unable = this.opts
       .livePeers()
       .find(({heartbeat}) => !heartbeat.appliesEvacuations);
--- a/packages/scheduling/src/known_targets/known_targets.ts
+++ b/packages/scheduling/src/known_targets/known_targets.ts
@@ -97,16 +97,26 @@
     return this.sessions.values();
   }
 
-  /** Sessions with the targets that are in use. */
+  /**
+   * Sessions with the targets that are in use: while the data centre is taken back, a
+   * share of the available targets of each service.
+   */
   sessionsInUse(): Iterable<TargetSession<PlacedRun>> {
     const phase = this.evacuationPhase;
-    return phase.kind === 'returning'
-      ? returnedTargets(
-          this.sessions.values(),
-          session => session.report.targetId,
-          phase.share,
-        )
-      : this.sessions.values();
+    if (phase.kind !== 'returning') {
+      return this.sessions.values();
+    }
+    const sessions = [...this.sessions.values()];
+    const services = new Set(sessions.map(({report}) => report.service));
+    return [...services].flatMap(service =>
+      returnedTargets(
+        sessions.filter(
+          other => other.isAvailable && other.report.service === service,
+        ),
+        ({report}) => report.targetId,
+        phase.share,
+      ),
+    );
   }
 
   /**
