--- a/packages/scheduling/src/_lib/compare_waiting_jobs.test.ts
+++ b/packages/scheduling/src/_lib/compare_waiting_jobs.test.ts
@@ -45,4 +45,13 @@
     expect(compareWaitingJobs(late, fresh, 96)).toBeLessThan(0);
     expect(compareWaitingJobs(late, fresh, 97)).toBeGreaterThan(0);
   });
+
+  // A job of hundreds of tasks had the jobs of one task behind it refused.
+  it('puts a job of many tasks behind others while it has time to spare', () => {
+    const large = recordOf(1, 0);
+    large.yieldsUntilMs = 40;
+    expect(compareWaitingJobs(large, recordOf(2, 0), 39)).toBeGreaterThan(0);
+    expect(compareWaitingJobs(large, recordOf(2, 0), 41)).toBeLessThan(0);
+    expect(compareWaitingJobs(large, recordOf(2, 1), 39)).toBeLessThan(0);
+  });
 });
--- a/packages/scheduling/src/_lib/create_job_record.ts
+++ b/packages/scheduling/src/_lib/create_job_record.ts
@@ -39,16 +39,22 @@
   );
   const objectiveMs =
     job.stretch * criticalPathMs(job.steps, waveTimesMs) + job.slackMs;
+  const objectiveAtMs = nowMs + objectiveMs - job.ageMs;
+  const pathMs = criticalPathMs(job.steps, expectedMs);
   const record: JobRecord = {
     job,
     key: jobKey(job),
     requester: undefined,
     sequence,
     receivedMs: nowMs,
-    objectiveAtMs: nowMs + objectiveMs - job.ageMs,
+    objectiveAtMs,
     callerDeadlineAtMs: nowMs + job.leftMs,
     expectedMs,
-    criticalPathMs: criticalPathMs(job.steps, expectedMs),
+    criticalPathMs: pathMs,
+    widestStep: Math.max(...job.steps.map(step => step.count)),
+    slots: Infinity,
+    yieldsUntilMs: -Infinity,
+    lateFromMs: objectiveAtMs - pathMs,
     tasks: [],
     samples: [],
     longestRunMs: job.steps.map(() => 0),
--- a/packages/scheduling/src/_lib/job_record.ts
+++ b/packages/scheduling/src/_lib/job_record.ts
@@ -28,6 +28,17 @@
   readonly expectedMs: readonly number[];
   /** Expected duration of the critical path, in milliseconds. */
   readonly criticalPathMs: number;
+  /** Number of tasks of its widest step. */
+  readonly widestStep: number;
+  /** Slots for its tasks at this scheduler when it arrived, busy or free. */
+  slots: number;
+  /**
+   * Monotonic time until which others of its priority go first, in milliseconds;
+   * -Infinity if they don't.
+   */
+  yieldsUntilMs: number;
+  /** Monotonic time from which it can't meet its objective, in milliseconds. */
+  lateFromMs: number;
   readonly tasks: TaskRecord[];
   readonly samples: RunTimeSample[];
   /** Longest run time of a completed task, by step, in milliseconds. */
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -45,6 +45,7 @@
 import {runPermissionEndMs} from '../run_permission/run_permission_end_ms.js';
 import type {RunTimeEstimator} from '../run_time_estimator/run_time_estimator.js';
 import type {RunEnd} from '../target_port/run_end.js';
+import {yieldTimes} from '../yield_times/yield_times.js';
 import type {SchedulerOptions} from './scheduler_options.js';
 
 /**
@@ -492,10 +493,16 @@
     // The objective depends on the slots of the whole service. All shards are
     // assumed to have as many as this one.
     const serviceSlots = slots * Math.max(1, this.opts.shardCount());
-    return {
-      record: createJobRecord(job, expectedMs, sequence, serviceSlots, nowMs),
-      slots,
-    };
+    const record = createJobRecord(
+      job,
+      expectedMs,
+      sequence,
+      serviceSlots,
+      nowMs,
+    );
+    record.slots = slots;
+    updateYieldTimes(record);
+    return {record, slots};
   }
 
   private decideAdmission(
@@ -506,7 +513,8 @@
     const {job, expectedMs} = record;
     const aheadMs: number[] = [];
     for (const other of this.waiting) {
-      if (other.job.priority <= job.priority) {
+      updateYieldTimes(other);
+      if (compareWaitingJobs(other, record, nowMs) < 0) {
         for (const task of other.tasks) {
           if (task.state === 'waiting') {
             aheadMs.push(other.expectedMs[task.stepIndex]!);
@@ -712,6 +720,7 @@
     }
     const candidates = this.availableCandidates();
     const nowMs = this.opts.clock.now();
+    this.waiting.forEach(updateYieldTimes);
     this.waiting.sort((a, b) => compareWaitingJobs(a, b, nowMs));
     this.withholdForSuspect(candidates);
     const slots = countSlots(candidates);
@@ -1501,6 +1510,24 @@
   return {kind: 'refused', reason, retryAfterMs: TAKEOVER_RETRY_MS, quote};
 }
 
+/** Updates the place of a job of many tasks in the order of its priority. */
+function updateYieldTimes(record: JobRecord): void {
+  if (record.slots === 0 || record.widestStep <= record.slots) {
+    return;
+  }
+  const {slots, criticalPathMs, expectedMs} = record;
+  let workMs = 0;
+  for (const {state, stepIndex} of record.tasks) {
+    if (state === 'waiting' || state === 'blocked') {
+      workMs += expectedMs[stepIndex]!;
+    }
+  }
+  const endByMs = Math.min(record.objectiveAtMs, record.callerDeadlineAtMs);
+  const times = yieldTimes({slots, workMs, criticalPathMs, endByMs});
+  record.yieldsUntilMs = times.yieldsUntilMs;
+  record.lateFromMs = times.lateFromMs;
+}
+
 /** Time until the last task of a quote starts, in milliseconds. */
 function lastTaskStartMs(quote: JobQuote, record: JobRecord): number {
   return Math.max(
