--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -9,6 +9,7 @@
 export * from './job_size/job_size_problem.js';
 export * from './load_meter/load_meter.js';
 export * from './longest_lease/longest_lease_ms.js';
+export * from './placement/placement.js';
 export * from './response_times/response_times.js';
 export * from './run_time_estimator/run_time_estimator.js';
 export * from './run_permission/run_permission_end_ms.js';
--- a/packages/scheduling/src/scheduler/scheduler.ts
+++ b/packages/scheduling/src/scheduler/scheduler.ts
@@ -38,6 +38,11 @@
 import {isStraggler} from '../is_straggler/is_straggler.js';
 import type {LongRun} from '../is_straggler/long_run.js';
 import {maxLocalWaitMs} from '../local_wait/max_local_wait_ms.js';
+import {earliestPlace} from '../placement/earliest_place.js';
+import {maxReservations} from '../placement/max_reservations.js';
+import {mayBackfill} from '../placement/may_backfill.js';
+import type {Reservation} from '../placement/reservation.js';
+import {spareAfter} from '../placement/spare_after.js';
 import {reservedSlots} from '../reserved_slots/reserved_slots.js';
 import {unreservedSlots} from '../reserved_slots/unreserved_slots.js';
 import {MIN_LEASE_SHARE} from '../run_permission/min_lease_share.js';
@@ -136,6 +141,8 @@
   private handedOverMs: number | undefined;
   /** Monotonic time at which the latest new target was added. */
   private lastTargetAddedMs = -Infinity;
+  /** Number of targets that are reserved in this round of placement. */
+  private reservedCount = 0;
   private isPlacementDue = false;
   /** Whether the last round has left tasks to the next one. */
   private isNextRoundDue = false;
@@ -723,6 +730,7 @@
     this.waiting.forEach(updateYieldTimes);
     this.waiting.sort((a, b) => compareWaitingJobs(a, b, nowMs));
     this.withholdForSuspect(candidates);
+    this.reservedCount = 0;
     const slots = countSlots(candidates);
     const busySlots = this.loadMeter.loadAbove(Infinity, nowMs);
     let placedCount = 0;
@@ -830,6 +838,7 @@
           isExclusive: [...session.runs.values()].some(run =>
             this.opts.crashes.isSuspect(run.task.taskId),
           ),
+          reservation: undefined,
         });
       }
     }
@@ -865,17 +874,25 @@
     candidates: SessionCandidate[],
   ): RunRecord | undefined {
     const {needs} = task.job.job.steps[task.stepIndex]!;
+    const expectedMs = task.job.expectedMs[task.stepIndex]!;
     // A suspect runs alone, so that another crash takes no other task along.
     const isSuspect = this.opts.crashes.isSuspect(task.taskId);
     const usable = candidates.filter(
-      ({session, runs, isExclusive}) =>
-        isAllowed(task, session) && (isSuspect ? runs === 0 : !isExclusive),
+      ({session, runs, isExclusive, reservation}) =>
+        isAllowed(task, session) &&
+        (isSuspect ? runs === 0 : !isExclusive) &&
+        mayBackfill(reservation, needs, expectedMs * session.slowness),
     );
     const chosen = chooseTarget(usable, needs);
     if (!chosen) {
+      if (!isSuspect) {
+        this.reserveFor(task, usable);
+      }
       return undefined;
     }
     const {session} = chosen;
+    const runMs = expectedMs * session.slowness;
+    chosen.reservation = spareAfter(chosen.reservation, needs, runMs);
     const run = this.createRun(task, session, task.nextRunNumber++, false);
     task.state = 'placed';
     task.run = run;
@@ -886,6 +903,28 @@
     return run;
   }
 
+  /** Reserves a target for a task that has found no room on any. */
+  private reserveFor(task: TaskRecord, usable: SessionCandidate[]): void {
+    const {needs} = task.job.job.steps[task.stepIndex]!;
+    const left = maxReservations(this.opts.placement) - this.reservedCount;
+    const nowMs = this.opts.clock.now();
+    const places =
+      left > 0
+        ? usable
+            .filter(({isSuspect, reservation}) => !isSuspect && !reservation)
+            .map(candidate => ({
+              candidate,
+              free: candidate.free,
+              ends: candidate.session.expectedRunEnds(nowMs),
+            }))
+        : [];
+    const found = earliestPlace(needs, places);
+    if (found) {
+      found.place.candidate.reservation = found.reservation;
+      this.reservedCount++;
+    }
+  }
+
   /** Logs the targets that tasks of a job were placed on in one round. */
   private logPlaced(
     record: JobRecord,
@@ -1463,6 +1502,8 @@
   runs: number;
   /** Whether it is kept for a task that has to run alone. */
   isExclusive: boolean;
+  /** Use by a task that waits; undefined if there is none. */
+  reservation: Reservation | undefined;
 }
 
 /** Counts slots for tasks of the mean size of the running ones. */
--- a/packages/scheduling/src/scheduler/scheduler_options.ts
+++ b/packages/scheduling/src/scheduler/scheduler_options.ts
@@ -7,6 +7,7 @@
   ShardId,
   TargetId,
 } from '@papayarun/protocol';
+import type {Placement} from '../placement/placement.js';
 import type {RunTimeEstimator} from '../run_time_estimator/run_time_estimator.js';
 import type {TargetPort} from '../target_port/target_port.js';
 import type {CrashEvidence} from '../crash_evidence/crash_evidence.js';
@@ -25,6 +26,8 @@
   readonly shard: ShardId;
   /** Run times learnt from jobs, shared by the schedulers of an instance. */
   readonly estimator: RunTimeEstimator;
+  /** How waiting tasks get their targets; `firstFit` if absent. */
+  readonly placement?: Placement;
   /** Tasks and kinds that crash their targets, shared like the run times. */
   readonly crashes: CrashEvidence;
   /** Number of shards of all data centres, including this one. */
