--- a/packages/daemon/src/entry_instance/entry_instance_options.ts
+++ b/packages/daemon/src/entry_instance/entry_instance_options.ts
@@ -1,5 +1,9 @@
 import type {Clock, EventLog, RandomSource} from '@papayarun/protocol';
-import type {SchedulerTiming, TargetPort} from '@papayarun/scheduling';
+import type {
+  Placement,
+  SchedulerTiming,
+  TargetPort,
+} from '@papayarun/scheduling';
 import type {NodeSettings} from '../cluster_node/node_settings.js';
 import type {Metrics} from '../metrics/metrics.js';
 import type {WorkQueue} from '../work_queue/work_queue.js';
@@ -11,6 +15,8 @@
   readonly cfg: NodeSettings;
   readonly targetClient: TargetPort;
   readonly timing: SchedulerTiming;
+  /** How waiting tasks get their targets; `firstFit` if absent. */
+  readonly placement?: Placement;
   /** Number of targets that the instance can schedule. */
   readonly maxTargets: number;
   /** Extracts the queues from an accepted configuration. */
--- a/packages/daemon/src/entry_instance/local_schedulers_options.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers_options.ts
@@ -8,7 +8,11 @@
   TaskLoss,
 } from '@papayarun/protocol';
 import type {ControlStore, SchedulerGrant} from '@papayarun/releases';
-import type {SchedulerTiming, TargetPort} from '@papayarun/scheduling';
+import type {
+  Placement,
+  SchedulerTiming,
+  TargetPort,
+} from '@papayarun/scheduling';
 import type {Metrics} from '../metrics/metrics.js';
 
 /**
@@ -26,6 +30,8 @@
     Metrics,
     'recordJob' | 'recordForecastError' | 'recordFreeSlots'
   >;
+  /** How waiting tasks get their targets; `firstFit` if absent. */
+  readonly placement?: Placement;
   readonly loopLagMs: () => number;
   /**
    * Monotonic time at which an instance was last known to run, in milliseconds;
