--- a/packages/daemon/src/entry_instance/local_schedulers_options.ts
+++ b/packages/daemon/src/entry_instance/local_schedulers_options.ts
@@ -10,6 +10,7 @@
 import type {ControlStore, SchedulerGrant} from '@papayarun/releases';
 import type {
   EvacuationPhase,
+  PlacementPolicy,
   SchedulerTiming,
   TargetPort,
 } from '@papayarun/scheduling';
@@ -32,6 +33,8 @@
   >;
   /** What may be started on the targets of the data centre. */
   readonly evacuationPhase?: () => EvacuationPhase;
+  /** How waiting tasks get their targets; `firstFit` if absent. */
+  readonly placement?: PlacementPolicy;
   readonly loopLagMs: () => number;
   /**
    * Monotonic time at which an instance was last known to run, in milliseconds;
--- a/packages/scheduling/src/job_admission/job_admission.ts
+++ b/packages/scheduling/src/job_admission/job_admission.ts
@@ -13,6 +13,7 @@
 import {unreservedSlots} from '../reserved_slots/unreserved_slots.js';
 import type {SchedulerOptions} from '../scheduler/scheduler_options.js';
 import type {WaitingJobs} from '../waiting_jobs/waiting_jobs.js';
+import {updateYieldTimes} from '../yield_times/update_yield_times.js';
 
 /**
  * Multiple of a job's objective after which its end is too late for the job to
@@ -77,10 +78,16 @@
     // The objective depends on the slots of the whole service. All shards are
     // assumed to have as many as this one.
     const serviceSlots = slots * Math.max(1, this.opts.shardCount());
-    return {
-      record: createJobRecord(job, expectedMs, sequence, serviceSlots, nowMs),
-      slots,
-    };
+    const record = createJobRecord(
+      job,
+      expectedMs,
+      sequence,
+      serviceSlots,
+      nowMs,
+    );
+    record.slots = slots;
+    updateYieldTimes(record);
+    return {record, slots};
   }
 
   /**
@@ -108,7 +115,7 @@
   decideAdmission(record: JobRecord, slots: number, nowMs: number): Admission {
     const {job, expectedMs} = record;
     const {targets, waiting, loadMeter} = this.parts;
-    const aheadMs = waiting.runTimesAheadMs(job.priority);
+    const aheadMs = waiting.runTimesAheadMs(record, nowMs);
     const ownMs = record.tasks.map(task => expectedMs[task.stepIndex]!);
     const urgentSlots = loadMeter.loadAbove(job.priority, nowMs);
     const reserved = reservedSlots({
--- a/packages/scheduling/src/placement/placement.ts
+++ b/packages/scheduling/src/placement/placement.ts
@@ -1,3 +1,4 @@
+import type {Resources} from '@papayarun/protocol';
 import type {JobRecord} from '../_lib/job_record.js';
 import type {PlacedRun} from '../_lib/placed_run.js';
 import type {TaskRecord} from '../_lib/task_record.js';
@@ -10,6 +11,10 @@
 import type {KnownTargets} from '../known_targets/known_targets.js';
 import type {LoadMeter} from '../load_meter/load_meter.js';
 import type {OpenRuns} from '../open_runs/open_runs.js';
+import {earliestPlace} from '../reservation/earliest_place.js';
+import {maxReservations} from '../reservation/max_reservations.js';
+import {mayBackfill} from '../reservation/may_backfill.js';
+import {spareAfter} from '../reservation/spare_after.js';
 import {reservedSlots} from '../reserved_slots/reserved_slots.js';
 import type {SchedulerOptions} from '../scheduler/scheduler_options.js';
 import type {WaitingJobs} from '../waiting_jobs/waiting_jobs.js';
@@ -48,6 +53,8 @@
   private isOtherRunCheckDue = false;
   /** Whether a target gets no new run until those that wait for one are heard. */
   private isLeaseShort = false;
+  /** Number of targets that are reserved in this round. */
+  private reservedCount = 0;
   /** Phase of the last round. */
   private placedInPhase: EvacuationPhase['kind'] = 'inService';
 
@@ -110,6 +117,7 @@
     const nowMs = this.opts.clock.now();
     waiting.sort(nowMs);
     this.withholdForSuspect(candidates);
+    this.reservedCount = 0;
     const slots = countSlots(candidates);
     const busySlots = loadMeter.loadAbove(Infinity, nowMs);
     let placedCount = 0;
@@ -236,6 +244,7 @@
           isExclusive: [...session.runs.values()].some(run =>
             this.opts.crashes.isSuspect(run.taskId),
           ),
+          reservation: undefined,
         });
       }
     }
@@ -273,18 +282,25 @@
     candidates: SessionCandidate[],
   ): PlacedRun | undefined {
     const {needs} = record.job.steps[task.stepIndex]!;
+    const expectedMs = record.expectedMs[task.stepIndex]!;
     // A suspect runs alone, so that another crash takes no other task along.
     const isSuspect = this.opts.crashes.isSuspect(task.taskId);
     const usable = candidates.filter(
-      ({session, runs, isExclusive}) =>
+      ({session, runs, isExclusive, reservation}) =>
         isAllowed(record, task, session) &&
-        (isSuspect ? runs === 0 : !isExclusive),
+        (isSuspect ? runs === 0 : !isExclusive) &&
+        mayBackfill(reservation, needs, expectedMs * session.slowness),
     );
     const chosen = chooseTarget(usable, needs);
     if (!chosen) {
+      if (!isSuspect) {
+        this.reserveFor(needs, usable);
+      }
       return undefined;
     }
     const {session} = chosen;
+    const runMs = expectedMs * session.slowness;
+    chosen.reservation = spareAfter(chosen.reservation, needs, runMs);
     const run = this.parts.openRuns.createRun(
       record,
       task,
@@ -301,6 +317,27 @@
     return run;
   }
 
+  /** Reserves a target for a task that has found no room on any. */
+  private reserveFor(needs: Resources, usable: SessionCandidate[]): void {
+    const left = maxReservations(this.opts.placement) - this.reservedCount;
+    if (left <= 0) {
+      return;
+    }
+    const nowMs = this.opts.clock.now();
+    const places = usable
+      .filter(({isSuspect, reservation}) => !isSuspect && !reservation)
+      .map(candidate => ({
+        candidate,
+        free: candidate.free,
+        ends: candidate.session.expectedRunEnds(nowMs),
+      }));
+    const found = earliestPlace(needs, places);
+    if (found) {
+      found.place.candidate.reservation = found.reservation;
+      this.reservedCount++;
+    }
+  }
+
   /** Logs the targets that tasks of a job were placed on in one round. */
   private logPlaced(
     record: JobRecord,
--- a/packages/scheduling/src/placement/session_candidate.ts
+++ b/packages/scheduling/src/placement/session_candidate.ts
@@ -1,6 +1,7 @@
 import type {Resources, TargetId} from '@papayarun/protocol';
 import type {PlacedRun} from '../_lib/placed_run.js';
 import type {TargetSession} from '../_lib/target_session.js';
+import type {Reservation} from '../reservation/reservation.js';
 
 /** Target session as a candidate for a task. */
 export interface SessionCandidate {
@@ -12,4 +13,6 @@
   runs: number;
   /** Whether it is kept for a task that has to run alone. */
   isExclusive: boolean;
+  /** Use by a task that waits; undefined if there is none. */
+  reservation: Reservation | undefined;
 }
--- a/packages/scheduling/src/scheduler/scheduler_options.ts
+++ b/packages/scheduling/src/scheduler/scheduler_options.ts
@@ -7,6 +7,7 @@
   ShardId,
   TargetId,
 } from '@papayarun/protocol';
+import type {PlacementPolicy} from '../reservation/placement_policy.js';
 import type {RunTimeEstimator} from '../run_time_estimator/run_time_estimator.js';
 import type {TargetPort} from '../target_port/target_port.js';
 import type {EvacuationPhase} from '../evacuation_phase/evacuation_phase.js';
@@ -26,6 +27,8 @@
   readonly shard: ShardId;
   /** Run times learnt from jobs, shared by the schedulers of an instance. */
   readonly estimator: RunTimeEstimator;
+  /** How waiting tasks get their targets; `firstFit` if absent. */
+  readonly placement?: PlacementPolicy;
   /** Tasks and kinds that crash their targets, shared like the run times. */
   readonly crashes: CrashEvidence;
   /** Number of shards in service in all data centres, including this one. */
--- a/packages/scheduling/src/waiting_jobs/waiting_jobs.test.ts
+++ b/packages/scheduling/src/waiting_jobs/waiting_jobs.test.ts
@@ -30,7 +30,21 @@
     urgent.tasks[0]!.state = 'done';
     waiting.enqueue(urgent);
     waiting.enqueue(recordOf(2, 2));
-    expect(waiting.runTimesAheadMs(1)).toEqual([60, 60, 60]);
+    const equal = recordOf(3, 1);
+    waiting.enqueue(equal);
+    const later = recordOf(4, 1);
+    expect(waiting.runTimesAheadMs(later, 4)).toEqual(Array(7).fill(60));
+    expect(waiting.runTimesAheadMs(equal, 4)).toEqual(Array(3).fill(60));
+  });
+
+  // A job that counts late ones, which it overtakes, as ahead of it is refused.
+  it('counts no job as ahead that has become late', () => {
+    const waiting = WaitingJobs.create();
+    const late = recordOf(1, 0);
+    waiting.enqueue(late);
+    const nowMs = late.lateFromMs + 1;
+    const record = createJobRecord(jobOf(2), [60], 2, 100, nowMs);
+    expect(waiting.runTimesAheadMs(record, nowMs)).toEqual([]);
   });
 
   it('keeps the jobs that have a task to place or to take over', () => {
--- a/packages/scheduling/src/waiting_jobs/waiting_jobs.ts
+++ b/packages/scheduling/src/waiting_jobs/waiting_jobs.ts
@@ -2,6 +2,7 @@
 import {hasUnplacedTask} from '../_lib/has_unplaced_task.js';
 import type {JobRecord} from '../_lib/job_record.js';
 import type {TaskRecord} from '../_lib/task_record.js';
+import {updateYieldTimes} from '../yield_times/update_yield_times.js';
 
 /**
  * Jobs with unplaced tasks; sorted before each round of placement.
@@ -52,6 +53,7 @@
 
   /** Sorts the jobs in the order in which they get slots. */
   sort(nowMs: number): void {
+    this.records.forEach(updateYieldTimes);
     this.records.sort((a, b) => compareWaitingJobs(a, b, nowMs));
   }
 
@@ -63,16 +65,18 @@
   /**
    * Expected run times of the waiting tasks that get slots before a new job.
    *
-   * @param priority - Priority of the new job.
+   * @param record - The new job.
+   * @param nowMs - Monotonic time in milliseconds.
    * @returns Milliseconds for each task.
    */
-  runTimesAheadMs(priority: number): number[] {
+  runTimesAheadMs(record: JobRecord, nowMs: number): number[] {
     const aheadMs: number[] = [];
-    for (const {job, tasks, expectedMs} of this.records) {
-      if (job.priority <= priority) {
-        for (const task of tasks) {
+    for (const other of this.records) {
+      updateYieldTimes(other);
+      if (compareWaitingJobs(other, record, nowMs) < 0) {
+        for (const task of other.tasks) {
           if (task.state === 'waiting') {
-            aheadMs.push(expectedMs[task.stepIndex]!);
+            aheadMs.push(other.expectedMs[task.stepIndex]!);
           }
         }
       }
