--- a/packages/daemon/src/metrics/metrics.ts
+++ b/packages/daemon/src/metrics/metrics.ts
@@ -37,6 +37,7 @@
   private readonly targetBytes: Counter<'call' | 'direction'>;
   private readonly targetConnections: Counter;
   private readonly jobs: Counter<'kind' | 'verdict'>;
+  private readonly limits: Counter<'limit'>;
   private readonly processorTime: Gauge;
   private readonly jobDuration: Histogram<'kind' | 'verdict'>;
   private readonly forecastError: Histogram<'kind'>;
@@ -119,6 +120,12 @@
       buckets: SLOT_BUCKETS,
       registers,
     });
+    this.limits = new Counter({
+      name: 'papayarun_limits_reached_total',
+      help: 'Requests refused and connections closed for a limit of unfinished requests.',
+      labelNames: ['limit'],
+      registers,
+    });
     this.processorTime = new Gauge({
       name: 'papayarun_processor_seconds',
       help: 'Processor time that the process has used.',
@@ -222,6 +229,11 @@
     this.targetConnections.inc();
   }
 
+  /** Counts a request refused or a connection closed for a limit. */
+  countLimit(limit: string): void {
+    this.limits.inc({limit});
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   async render(): Promise<{
     readonly contentType: string;
--- a/packages/protocol/src/event_log/event_catalogue.ts
+++ b/packages/protocol/src/event_log/event_catalogue.ts
@@ -495,6 +495,11 @@
     level: 'warn',
     text: 'outcome of an operator request could not be determined',
   },
+  limitReached: {
+    number: 8006,
+    level: 'warn',
+    text: 'limit of unfinished requests was reached; the event has which one, and how often since the last line',
+  },
   linesDropped: {
     number: 8004,
     level: 'warn',
--- a/packages/protocol/src/refusal/http_status_of.ts
+++ b/packages/protocol/src/refusal/http_status_of.ts
@@ -4,6 +4,7 @@
   badRequest: 400,
   unauthorized: 401,
   tooLarge: 413,
+  overloaded: 503,
   notFound: 404,
   unknownHome: 400,
   homeUnreachable: 503,
--- a/packages/protocol/src/refusal/refusal_code.ts
+++ b/packages/protocol/src/refusal/refusal_code.ts
@@ -5,6 +5,7 @@
   | 'badRequest'
   | 'unauthorized'
   | 'tooLarge'
+  | 'overloaded'
   | 'notFound'
   | 'unknownHome'
   | 'homeUnreachable'
