Bound the memory of unfinished requests on the HTTP listeners and the peer port

All listeners of a process share one budget for bodies and answers in progress, an eighth of memoryMb. A connection has at most 16 requests in progress.

--- a/packages/daemon/src/caller_api/left_callers.test.ts
+++ b/packages/daemon/src/caller_api/left_callers.test.ts
@@ -4,6 +4,7 @@
 import type {KindId, Outcome, Work} from '@papayarun/protocol';
 import {SystemClock} from '@papayarun/protocol';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {createHttpLimits} from '../http/_lib/create_http_limits.js';
 import {HttpApp} from '../http/http_app.js';
 import type {CallerApiOptions} from './caller_api_options.js';
 import {callerRoutes} from './caller_routes.js';
@@ -45,6 +46,7 @@
         log: SilentLog.create(),
         maxBodyBytes: 1_024,
         maxConnections: 100,
+        limits: createHttpLimits(),
         commonHeaders: () => ({}),
       },
       {host: '127.0.0.1', port: 0},
--- a/packages/daemon/src/cluster_node/cluster_node.ts
+++ b/packages/daemon/src/cluster_node/cluster_node.ts
@@ -8,6 +8,7 @@
 import type {BootId, InstanceId, ReplicaSet} from '@papayarun/protocol';
 import type {Replica} from '@papayarun/replication';
 import {ControlClient} from '../control_client/control_client.js';
+import {LimitMonitor} from '../limit_monitor/limit_monitor.js';
 import {LoopLagMeter} from '../loop_lag/loop_lag_meter.js';
 import {addressOf} from './address_of.js';
 import type {ClusterNodeOptions} from './cluster_node_options.js';
@@ -159,6 +160,7 @@
 ): Promise<WsPeerNetwork> {
   const {cfg, log} = opts;
   const linkedPeers = new Set<InstanceId>();
+  const limits = LimitMonitor.create(opts.clock, log, opts.metrics);
   return WsPeerNetwork.create(
     {
       self: cfg.instanceId,
@@ -193,6 +195,7 @@
           }
         },
         linkRefused: reason => log.emit('linkRefused', {reason}),
+        unknownClientClosed: () => limits.record('peerRefused'),
         sent: (type, bytes) => opts.metrics.countMessage(type, bytes),
       },
     },
--- a/packages/daemon/src/http/http_app.test.ts
+++ b/packages/daemon/src/http/http_app.test.ts
@@ -3,6 +3,7 @@
 import {connect} from 'node:net';
 import {SilentLog} from '@papayarun/test_kit';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {createHttpLimits} from './_lib/create_http_limits.js';
 import {HttpApp} from './http_app.js';
 import type {HttpRoute} from './http_route.js';
 
@@ -38,6 +39,7 @@
         log: SilentLog.create(),
         maxBodyBytes: 1_024,
         maxConnections: 100,
+        limits: createHttpLimits(),
         commonHeaders: () => ({}),
       },
       {host: '127.0.0.1', port: 0},
--- a/packages/daemon/src/http/http_app.ts
+++ b/packages/daemon/src/http/http_app.ts
@@ -3,18 +3,57 @@
 import type {AddressInfo} from 'node:net';
 import {Server as NetServer} from 'node:net';
 import type {EventLog, Refusal} from '@papayarun/protocol';
-import {DispatchError, refusalFromError} from '@papayarun/protocol';
+import {
+  DispatchError,
+  refusalFromError,
+  SystemClock,
+} from '@papayarun/protocol';
+import type {LimitKind} from '../limit_monitor/limit_kind.js';
 import {afterReading} from '../loop_lag/after_reading.js';
+import type {Transfer} from '../transfer_budget/transfer.js';
+import type {TransferEnd} from '../transfer_budget/transfer_end.js';
+import type {HttpLimits} from './http_limits.js';
 import type {HttpResponse} from './http_response.js';
 import type {HttpRoute} from './http_route.js';
 import {matchPath} from './match_path.js';
 import {OpenConnections} from './open_connections.js';
+import {overloadedError} from './overloaded_error.js';
+import {readBody} from './read_body.js';
+import {ReadingTurn} from './reading_turn.js';
 import {refusalResponse} from './refusal_response.js';
 
 const MAX_HEADER_BYTES = 16 * 1024;
 const HEADERS_TIMEOUT_MS = 10_000;
 const REQUEST_TIMEOUT_MS = 60_000;
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+/** Interval of the checks for transfers and headers that are too slow, in milliseconds. */
+const CHECK_MS = 1_000;
+/** Requests in progress on one connection; ordinary clients have one. */
+const MAX_PIPELINED = 16;
+/** Memory of a request beside its headers and its body, in bytes. */
+const REQUEST_BYTES = 4 * 1024;
+/** Response up to which the memory is not limited, in bytes. */
+const SMALL_RESPONSE_BYTES = 16 * 1024;
+/**
+ * Time in which a client may send the rest of a request that was refused, in
+ * milliseconds; it may not read the answer before.
+ */
+const DISCARD_MS = 2_000;
+/** Pieces that it may send meanwhile. */
+const MAX_DISCARDED_PIECES = 4_096;
+/** Connections kept free for those that arrive before others have been closed. */
+const SPARE_CONNECTIONS = 64;
+const SPARE_SHARE = 0.1;
+/** Age from which an unfinished request may be given up for a connection, in ms. */
+const MIN_DISPLACED_AGE_MS = 1_000;
+const CLOCK = SystemClock.create();
+/** How the end of a body that is not whole is counted. */
+const LIMIT_OF_BODY: Readonly<Record<TransferEnd, LimitKind>> = {
+  evicted: 'bodyEvicted',
+  displaced: 'bodyEvicted',
+  tooSlow: 'bodyTooSlow',
+  fragmented: 'bodyFragmented',
+};
 /** Maximum number of connections that wait to be accepted. */
 const LISTEN_BACKLOG = 511;
 /**
@@ -31,6 +70,8 @@
   readonly log: EventLog;
   readonly maxBodyBytes: number;
   readonly maxConnections: number;
+  /** Limits that this listener shares with the others of its process. */
+  readonly limits: HttpLimits;
   /** Checks authorization; can refuse a request before its body is read. */
   readonly guard?: (req: IncomingMessage, path: string) => Refusal | undefined;
   /** Headers added to every response. */
@@ -45,13 +86,21 @@
   /** Connections accepted and requests received. */
   private arrivals = 0;
   private clientRequests = 0;
-  private readonly connections = OpenConnections.create();
+  private readonly connections = OpenConnections.create(() => CLOCK.now());
+  private readonly turn = ReadingTurn.create(this.connections);
+  private readonly checkTimer: NodeJS.Timeout;
   private isClosing = false;
 
   private constructor(
     private readonly opts: HttpAppOptions,
     private readonly server: Server,
-  ) {}
+  ) {
+    // What arrived while the process stood still is read before the check.
+    this.checkTimer = setInterval(
+      () => void afterReading().then(() => opts.limits.budget.endSlow()),
+      CHECK_MS,
+    ).unref();
+  }
 
   /**
    * Creates a server and starts to listen.
@@ -72,13 +121,16 @@
       headersTimeout: HEADERS_TIMEOUT_MS,
       requestTimeout: REQUEST_TIMEOUT_MS,
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      connectionsCheckingInterval: CHECK_MS,
     });
     server.maxConnections = opts.maxConnections;
     const app = new HttpApp(opts, server);
     server.on('connection', socket => {
       app.arrivals++;
       app.connections.add(socket);
+      app.keepSpareConnections();
     });
+    server.on('drop', () => opts.limits.onLimit('connectionDropped'));
     server.on('request', (req, res) => void app.handleRequest(req, res));
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
@@ -155,15 +207,41 @@
 
   /** Stops listening and closes all connections, also those in use. */
   closeAll(): void {
+    clearInterval(this.checkTimer);
     this.server.close();
     this.server.closeAllConnections();
   }
 
+  /** Closes a connection without a whole request if few more are allowed. */
+  private keepSpareConnections(): void {
+    const {maxConnections, limits} = this.opts;
+    const spare = Math.min(SPARE_CONNECTIONS, maxConnections * SPARE_SHARE);
+    if (this.connections.count <= maxConnections - spare) {
+      return;
+    }
+    if (
+      this.connections.closeUnfinished() ||
+      limits.budget.endSlowest(this, MIN_DISPLACED_AGE_MS)
+    ) {
+      limits.onLimit('connectionEvicted');
+    }
+  }
+
   private async handleRequest(
     raw: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
     const {socket} = raw;
+    this.turn.addRequest();
+    if (socket.destroyed) {
+      // Rest of what was read from a connection before it was closed below.
+      return;
+    }
+    if (this.connections.requestsOn(socket) >= MAX_PIPELINED) {
+      this.opts.limits.onLimit('requestsPipelined');
+      socket.destroy();
+      return;
+    }
     this.activeRequests++;
     this.arrivals++;
     const disconnection = new AbortController();
@@ -176,25 +254,65 @@
     };
     this.connections.requestStarted(socket, abort);
     res.on('close', abort);
+    const ending = new AbortController();
+    const transfer = this.opts.limits.budget.start(this, cause =>
+      this.endTransfer(cause, raw, ending),
+    );
     try {
-      this.send(res, await this.routeRequest(raw, disconnection.signal));
+      const response = await this.routeRequest(
+        raw,
+        disconnection.signal,
+        transfer,
+        ending.signal,
+      );
+      this.send(raw, res, response, transfer);
     } catch (err) {
       const refusal = refusalFromError(err);
       if (refusal.code === 'internal') {
         this.opts.log.emit('unexpected', {err: (err as Error).stack});
       }
-      this.send(res, refusalResponse(refusal));
+      this.send(raw, res, refusalResponse(refusal), transfer);
     } finally {
+      this.limitDiscarding(raw);
       await closed(res);
+      transfer.release();
       this.connections.requestEnded(socket, abort);
       this.activeRequests--;
     }
   }
 
+  /** Refuses a request whose transfer was ended, or closes its connection. */
+  private endTransfer(
+    cause: TransferEnd,
+    raw: IncomingMessage,
+    ending: AbortController,
+  ): void {
+    const isAnswered = raw.complete;
+    this.opts.limits.onLimit(
+      isAnswered ? 'answerUnread' : LIMIT_OF_BODY[cause],
+    );
+    if (isAnswered || cause === 'fragmented' || cause === 'displaced') {
+      raw.socket.destroy();
+      return;
+    }
+    ending.abort(overloadedError('the body did not arrive in time'));
+  }
+
   private async routeRequest(
     raw: IncomingMessage,
     signal: AbortSignal,
+    transfer: Transfer,
+    ending: AbortSignal,
   ): Promise<HttpResponse> {
+    const baseBytes = REQUEST_BYTES + headerBytes(raw);
+    if (raw.method === 'GET') {
+      // Checks of readiness and metrics are needed most when memory is short.
+      transfer.force(baseBytes);
+    } else if (!transfer.reserve(baseBytes)) {
+      raw.resume();
+      this.opts.limits.onLimit('bodyRefused');
+      throw overloadedError('no memory for the request');
+    }
     const url = parseUrl(raw.url ?? '/');
     const refusal = this.opts.guard?.(raw, url.pathname);
     if (refusal) {
@@ -207,7 +325,15 @@
         route.method === raw.method && matchPath(route.path, url.pathname);
       if (params) {
         this.clientRequests += route.isPeriodic ? 0 : 1;
-        const body = await readBody(raw, this.opts.maxBodyBytes);
+        const body = await readBody(raw, {
+          maxBytes: this.opts.maxBodyBytes,
+          baseBytes,
+          transfer,
+          signal: ending,
+          onPiece: () => this.turn.addPiece(),
+          onRefused: () => this.opts.limits.onLimit('bodyRefused'),
+        });
+        transfer.startHandling();
         const {pathname: path, searchParams: query} = url;
         return await this.logBadRequest(
           route.handle({raw, path, query, params, body, signal}),
@@ -220,6 +346,24 @@
     return refusalResponse(DispatchError.notRun('notFound', message).refusal);
   }
 
+  /** Closes the connection of a request that was answered, but goes on for long. */
+  private limitDiscarding(raw: IncomingMessage): void {
+    if (raw.complete || raw.destroyed) {
+      return;
+    }
+    const {socket} = raw;
+    let pieces = 0;
+    const timer = setTimeout(() => socket.destroy(), DISCARD_MS).unref();
+    raw.on('data', () => {
+      this.turn.addPiece();
+      if (++pieces > MAX_DISCARDED_PIECES) {
+        socket.destroy();
+      }
+    });
+    raw.once('end', () => clearTimeout(timer));
+    raw.once('close', () => clearTimeout(timer));
+  }
+
   private async logBadRequest(
     response: Promise<HttpResponse>,
     path: string,
@@ -235,7 +379,12 @@
     }
   }
 
-  private send(res: ServerResponse, response: HttpResponse): void {
+  private send(
+    raw: IncomingMessage,
+    res: ServerResponse,
+    response: HttpResponse,
+    transfer: Transfer,
+  ): void {
     if (res.destroyed || res.headersSent) {
       return;
     }
@@ -245,9 +394,20 @@
           `${JSON.stringify((response.body as {json: unknown}).json)}\n`,
         )
       : (response.body as Uint8Array);
+    const size = bytes.byteLength;
+    if (size <= SMALL_RESPONSE_BYTES || raw.method !== 'GET') {
+      // What has run is answered, whatever memory there is.
+      transfer.force(size);
+    } else if (!transfer.reserve(size)) {
+      this.opts.limits.onLimit('answerRefused');
+      const {refusal} = overloadedError('no memory for the answer');
+      this.send(raw, res, refusalResponse(refusal), transfer);
+      return;
+    }
+    transfer.startSending(size);
     res.writeHead(response.status, {
       ...(isJson ? {'content-type': 'application/json'} : {}),
-      'content-length': bytes.byteLength,
+      'content-length': size,
       ...this.opts.commonHeaders(),
       ...response.headers,
       ...(this.isClosing ? {connection: 'close'} : {}),
@@ -256,6 +416,10 @@
   }
 }
 
+function headerBytes(raw: IncomingMessage): number {
+  return raw.rawHeaders.reduce((sum, text) => sum + text.length, 0);
+}
+
 /**
  * Resolves when the whole response was passed to the operating system, or its
  * connection was closed.
@@ -281,35 +445,3 @@
     );
   }
 }
-
-function readBody(raw: IncomingMessage, maxBytes: number): Promise<Buffer> {
-  return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    raw.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size <= maxBytes) {
-        chunks.push(chunk);
-        return;
-      }
-      chunks.length = 0;
-      reject(
-        DispatchError.notRun('tooLarge', `the body exceeds ${maxBytes} bytes`, {
-          field: 'body',
-        }),
-      );
-    });
-    raw.on('end', () => resolve(Buffer.concat(chunks)));
-    raw.on('error', reject);
-    raw.on('close', () => {
-      if (!raw.complete) {
-        reject(
-          DispatchError.notRun(
-            'cancelled',
-            'the connection closed before the request was complete',
-          ),
-        );
-      }
-    });
-  });
-}
--- a/packages/daemon/src/http/left_callers.test.ts
+++ b/packages/daemon/src/http/left_callers.test.ts
@@ -4,6 +4,7 @@
 import {SystemClock} from '@papayarun/protocol';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import {afterNextReading} from '../loop_lag/after_next_reading.js';
+import {createHttpLimits} from './_lib/create_http_limits.js';
 import {HttpApp} from './http_app.js';
 
 const CALLERS = 40;
@@ -31,6 +32,7 @@
         log: SilentLog.create(),
         maxBodyBytes: 1_024,
         maxConnections: 100,
+        limits: createHttpLimits(),
         commonHeaders: () => ({}),
       },
       {host: '127.0.0.1', port: 0},
--- a/packages/daemon/src/http/open_connections.ts
+++ b/packages/daemon/src/http/open_connections.ts
@@ -7,8 +7,18 @@
    * Bytes that were read when its last response had been sent; undefined before.
    */
   bytesRead: number | undefined;
+  /** Time since which it has no whole request in progress, in milliseconds. */
+  unusedSinceMs: number;
 }
 
+/**
+ * Time after which a connection without a whole request may be closed for a new one,
+ * in milliseconds. A client that has just connected needs less.
+ */
+const UNFINISHED_MS = 1_000;
+/** The same for a connection that is idle after a response; clients keep them for 15 s. */
+const IDLE_MS = 16_000;
+
 /**
  * Open connections of a server, and which of them are idle.
  *
@@ -18,17 +28,23 @@
 export class OpenConnections {
   private readonly uses = new Map<Socket, ConnectionUse>();
 
-  private constructor() {}
+  private constructor(private readonly now: () => number) {}
 
   /**
    * Creates an empty set.
    *
+   * @param now - Monotonic clock in milliseconds.
    * @returns The set.
    * @example
-   * const connections = OpenConnections.create();
+   * const connections = OpenConnections.create(() => clock.now());
    */
-  static create(): OpenConnections {
-    return new OpenConnections();
+  static create(now: () => number): OpenConnections {
+    return new OpenConnections(now);
+  }
+
+  /** Number of open connections. */
+  get count(): number {
+    return this.uses.size;
   }
 
   /**
@@ -37,11 +53,17 @@
    */
   add(socket: Socket): void {
     const aborts = new Set<() => void>();
-    this.uses.set(socket, {aborts, bytesRead: undefined});
+    const unusedSinceMs = this.now();
+    this.uses.set(socket, {aborts, bytesRead: undefined, unusedSinceMs});
     socket.once('end', () => aborts.forEach(abort => abort()));
     socket.once('close', () => this.uses.delete(socket));
   }
 
+  /** Number of requests in progress on a connection. */
+  requestsOn(socket: Socket): number {
+    return this.uses.get(socket)?.aborts.size ?? 0;
+  }
+
   /**
    * Adds a request.
    *
@@ -59,6 +81,7 @@
     if (use) {
       use.aborts.delete(abort);
       use.bytesRead = socket.bytesRead;
+      use.unusedSinceMs = this.now();
     }
   }
 
@@ -73,4 +96,40 @@
       }
     }
   }
+
+  /**
+   * Closes the oldest connection without a whole request, for a new one.
+   *
+   * @returns Whether there was one.
+   */
+  closeUnfinished(): boolean {
+    const nowMs = this.now();
+    for (const [socket, use] of this.uses) {
+      const isIdle = use.bytesRead === socket.bytesRead;
+      const limitMs = isIdle ? IDLE_MS : UNFINISHED_MS;
+      if (
+        use.aborts.size === 0 &&
+        nowMs - use.unusedSinceMs >= limitMs &&
+        !socket.destroyed
+      ) {
+        socket.destroy();
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Stops reading on all connections. */
+  pause(): void {
+    for (const socket of this.uses.keys()) {
+      socket.pause();
+    }
+  }
+
+  /** Reads again on all connections, unless the HTTP server has paused them. */
+  resume(): void {
+    for (const socket of this.uses.keys()) {
+      socket.resume();
+    }
+  }
 }
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -38,10 +38,13 @@
 import {checkBearerKey} from '../http/check_bearer_key.js';
 import {finishRequests} from '../http/finish_requests.js';
 import {HttpApp} from '../http/http_app.js';
+import type {HttpLimits} from '../http/http_limits.js';
 import {JobService} from '../job_service/job_service.js';
 import {IdempotentRequests} from '../idempotent_requests/idempotent_requests.js';
+import {LimitMonitor} from '../limit_monitor/limit_monitor.js';
 import {Metrics} from '../metrics/metrics.js';
 import {operatorRoutes} from '../operator_api/operator_routes.js';
+import {TransferBudget} from '../transfer_budget/transfer_budget.js';
 import {ReleasePolicy} from '../release_policy/release_policy.js';
 import {linkedPeersOf} from '../members/linked_peers_of.js';
 import {replicaInstancesOf} from '../members/replica_instances_of.js';
@@ -61,6 +64,11 @@
 const MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
 /** Timeout for connecting to a target, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 1_000;
+const BYTES_PER_MIB = 1024 * 1024;
+/** Part of the machine's memory that bodies of requests may take: an eighth. */
+const MEMORY_PER_BODIES = 8;
+/** Largest bodies for which there is memory, however little the machine has. */
+const MIN_LARGEST_BODIES = 8;
 /** Retry budget: retries allowed for each first attempt. */
 const RETRY_RATIO = 0.1;
 /** Hedge budget: hedged requests allowed for each first attempt. */
@@ -188,6 +196,7 @@
 
   private async openNetwork(): Promise<void> {
     const {peers, limits, timing} = this.cfg;
+    const peerLimits = LimitMonitor.create(this.clock, this.log, this.metrics);
     this.network = await WsPeerNetwork.create(
       {
         self: this.self,
@@ -207,6 +216,7 @@
             this.router.cancelWorkOfPeer(peer);
           },
           linkRefused: reason => this.log.emit('linkRefused', {reason}),
+          unknownClientClosed: () => peerLimits.record('peerRefused'),
           sent: (type, bytes) => this.metrics.countMessage(type, bytes),
         },
       },
@@ -447,11 +457,25 @@
   }
 
   private async listen(): Promise<void> {
-    this.callerApp = await this.listenForCallers();
-    this.operatorApp = await this.listenForOperators();
+    const limits = this.createHttpLimits();
+    this.callerApp = await this.listenForCallers(limits);
+    this.operatorApp = await this.listenForOperators(limits);
   }
 
-  private listenForCallers(): Promise<HttpApp> {
+  private createHttpLimits(): HttpLimits {
+    const {limits} = this.cfg;
+    const monitor = LimitMonitor.create(this.clock, this.log, this.metrics);
+    const bytes = Math.max(
+      (limits.memoryMb * BYTES_PER_MIB) / MEMORY_PER_BODIES,
+      limits.requestBodyBytes * MIN_LARGEST_BODIES,
+    );
+    return {
+      budget: TransferBudget.create(bytes, () => this.clock.now()),
+      onLimit: limit => monitor.record(limit),
+    };
+  }
+
+  private listenForCallers(limits: HttpLimits): Promise<HttpApp> {
     const {cfg, log} = this;
     return HttpApp.create(
       {
@@ -487,6 +511,7 @@
         }),
         maxBodyBytes: cfg.limits.requestBodyBytes,
         maxConnections: cfg.limits.callerConnections,
+        limits,
         commonHeaders: () => this.commonHeaders(),
         guard: (req, path) => {
           const key = this.keys.announce;
@@ -499,7 +524,7 @@
     );
   }
 
-  private listenForOperators(): Promise<HttpApp> {
+  private listenForOperators(limits: HttpLimits): Promise<HttpApp> {
     const {cfg, log} = this;
     return HttpApp.create(
       {
@@ -529,6 +554,7 @@
         }),
         maxBodyBytes: cfg.limits.requestBodyBytes,
         maxConnections: cfg.limits.callerConnections,
+        limits,
         commonHeaders: () => this.commonHeaders(),
         guard: req => checkBearerKey(req, this.keys.operator),
       },
--- a/packages/daemon/src/transfer_budget/transfer_budget.test.ts
+++ b/packages/daemon/src/transfer_budget/transfer_budget.test.ts
@@ -18,8 +18,10 @@
     budget = TransferBudget.create(TOTAL_BYTES, () => nowMs);
   });
 
+  const owner = {};
+
   const start = (name: string): Transfer =>
-    budget.start(cause => ended.push([name, cause]));
+    budget.start(owner, cause => ended.push([name, cause]));
 
   // A crowd of large unfinished bodies locked out every ordinary caller.
   it('keeps a quarter for small requests', () => {
@@ -57,7 +59,7 @@
     whole.startHandling();
     nowMs = 60_000;
     budget.endSlow();
-    expect(budget.endSlowest(0)).toBe(false);
+    expect(budget.endSlowest(owner, 0)).toBe(false);
     expect(start('new').reserve(700 * KIB)).toBe(false);
     expect(ended).toEqual([]);
   });
@@ -82,6 +84,18 @@
     expect(ended.slice(2)).toEqual([['slow', 'tooSlow']]);
   });
 
+  // A busy listener must not close the connections of another one.
+  it('frees connections of the listener that needs them', () => {
+    const other = {};
+    budget.start(other, cause => ended.push(['other', cause]));
+    nowMs = 1_000;
+    start('own');
+    nowMs = 2_500;
+    expect(budget.endSlowest(owner, 2_000)).toBe(false);
+    expect(budget.endSlowest(owner, 1_000)).toBe(true);
+    expect(ended).toEqual([['own', 'displaced']]);
+  });
+
   // Each piece of one byte takes processor time like a large one.
   it('allows a few bodies in tiny pieces, and ends the slowest of more', () => {
     for (let n = 0; n < 5; n++) {
--- a/packages/daemon/src/transfer_budget/transfer_budget.ts
+++ b/packages/daemon/src/transfer_budget/transfer_budget.ts
@@ -59,11 +59,12 @@
   /**
    * Adds a transfer, which receives a body and takes no memory yet.
    *
+   * @param owner - Listener of the request.
    * @param onEnd - Called if the transfer is ended; its memory is given back by then.
    * @returns The transfer.
    */
-  start(onEnd: (cause: TransferEnd) => void): Transfer {
-    const transfer = new BudgetedTransfer(this, this.now(), onEnd);
+  start(owner: object, onEnd: (cause: TransferEnd) => void): Transfer {
+    const transfer = new BudgetedTransfer(this, owner, this.now(), onEnd);
     this.transfers.add(transfer);
     return transfer;
   }
@@ -86,13 +87,15 @@
   /**
    * Ends the slowest transfer of a certain age, so that its connection is free.
    *
+   * @param owner - Listener of the transfer.
    * @param minAgeMs - Age in milliseconds.
    * @returns Whether there was one.
    */
-  endSlowest(minAgeMs: number): boolean {
-    const slowest = this.findSlowest(minAgeMs, () => true);
+  endSlowest(owner: object, minAgeMs: number): boolean {
+    const isOwned = (other: BudgetedTransfer): boolean => other.owner === owner;
+    const slowest = this.findSlowest(minAgeMs, isOwned);
     if (slowest) {
-      this.end(slowest, 'evicted');
+      this.end(slowest, 'displaced');
     }
     return slowest !== undefined;
   }
@@ -206,6 +209,7 @@
 
   constructor(
     private readonly budget: TransferBudget,
+    readonly owner: object,
     /** Start of the phase, in milliseconds. */
     public sinceMs: number,
     readonly onEnd: (cause: TransferEnd) => void,
--- a/packages/membership/src/ws_peer_network/link_observer.ts
+++ b/packages/membership/src/ws_peer_network/link_observer.ts
@@ -8,5 +8,10 @@
   /** A link was lost, `silentMs` milliseconds after its last frame. */
   linkDown(peer: InstanceId, reason: string, silentMs: number): void;
   linkRefused(reason: string): void;
+  /**
+   * A connection of a client that had not shown the key was closed for a new one, or
+   * since it sent too much.
+   */
+  unknownClientClosed?(): void;
   sent(type: string, bytes: number): void;
 }
--- a/packages/membership/src/ws_peer_network/ws_peer_network.ts
+++ b/packages/membership/src/ws_peer_network/ws_peer_network.ts
@@ -1,3 +1,5 @@
+import type {IncomingMessage, Server} from 'node:http';
+import {createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {
   InstanceId,
@@ -12,6 +14,7 @@
 import {handshake} from './handshake.js';
 import {MessageInbox} from './message_inbox.js';
 import {PeerLink} from './peer_link.js';
+import {UnknownClients} from './unknown_clients.js';
 import type {WsPeerNetworkOptions} from './ws_peer_network_options.js';
 
 /** Lower bound of the reconnect delay, which doubles after each failed attempt. */
@@ -19,6 +22,15 @@
 /** Upper bound of the reconnect delay; a link that lasts longer resets the delay. */
 const MAX_RECONNECT_DELAY_MS = 1_000;
 const CONNECT_TIMEOUT_MS = 2_000;
+/** Time for the headers of a connection, in milliseconds; peers send them at once. */
+const HEADERS_TIMEOUT_MS = 5_000;
+const HEADERS_CHECK_MS = 1_000;
+/**
+ * Bytes that are read from a client before it has shown the key; both messages of the
+ * handshake have less.
+ */
+const MAX_UNKNOWN_BYTES = 8 * 1024;
+const UPGRADE_REQUIRED = 426;
 
 type CallHandler = (from: InstanceId, req: unknown) => Promise<unknown>;
 type NoticeHandler = (from: InstanceId, notice: unknown) => void;
@@ -45,7 +57,9 @@
 
   private constructor(
     private readonly opts: WsPeerNetworkOptions,
+    private readonly httpServer: Server,
     private readonly server: WebSocketServer,
+    private readonly unknownClients: UnknownClients,
   ) {
     this.self = opts.self;
   }
@@ -64,23 +78,38 @@
     opts: WsPeerNetworkOptions,
     listen: {readonly host: string; readonly port: number},
   ): Promise<WsPeerNetwork> {
+    const httpServer = createServer(
+      {
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        requestTimeout: HEADERS_TIMEOUT_MS,
+        connectionsCheckingInterval: HEADERS_CHECK_MS,
+      },
+      (_req, res) => {
+        res.writeHead(UPGRADE_REQUIRED, {connection: 'close'}).end();
+      },
+    );
+    const unknownClients = UnknownClients.create(() =>
+      opts.observer.unknownClientClosed?.(),
+    );
+    httpServer.on('connection', socket => unknownClients.add(socket));
     const server = new WebSocketServer({
-      ...listen,
+      server: httpServer,
       maxPayload: opts.maxFrameBytes,
       perMessageDeflate: false,
     });
     await new Promise<void>((resolve, reject) => {
       server.once('listening', resolve);
       server.once('error', reject);
+      httpServer.listen(listen.port, listen.host);
     });
-    const network = new WsPeerNetwork(opts, server);
-    server.on('connection', socket => void network.accept(socket));
+    const network = new WsPeerNetwork(opts, httpServer, server, unknownClients);
+    server.on('connection', (socket, req) => void network.accept(socket, req));
     return network;
   }
 
   /** Port that this instance listens on for peers. */
   get port(): number {
-    return (this.server.address() as AddressInfo).port;
+    return (this.httpServer.address() as AddressInfo).port;
   }
 
   /**
@@ -139,7 +168,9 @@
     for (const client of this.server.clients) {
       client.terminate();
     }
-    await new Promise<void>(resolve => this.server.close(() => resolve()));
+    this.unknownClients.closeAll();
+    this.server.close();
+    await new Promise<void>(resolve => this.httpServer.close(() => resolve()));
   }
 
   async call<K extends keyof PeerCalls>(
@@ -290,8 +321,9 @@
     }
   }
 
-  private async accept(socket: WebSocket): Promise<void> {
+  private async accept(socket: WebSocket, req: IncomingMessage): Promise<void> {
     const inbox = MessageInbox.create(socket);
+    const stopLimit = this.limitUnknownBytes(socket, req);
     socket.on('error', () => socket.terminate());
     try {
       await aborted(this.starting.signal);
@@ -306,14 +338,44 @@
       if (!isMember && !this.opts.acceptsUnknownPeers) {
         throw new Error(`${peer} is not among the members`);
       }
+      stopLimit();
       await this.runLink(peer, socket, inbox);
     } catch (err) {
+      if (socket.isPaused) {
+        this.opts.observer.unknownClientClosed?.();
+      }
       this.opts.observer.linkRefused((err as Error).message);
     } finally {
       socket.terminate();
     }
   }
 
+  /**
+   * Reads no more from a client that sends more than a handshake, until it has shown
+   * the key. What a peer sends right behind its last message may have been read
+   * together with that; a client that shows no key is disconnected by the handshake.
+   *
+   * @returns Ends the limit.
+   */
+  private limitUnknownBytes(
+    socket: WebSocket,
+    req: IncomingMessage,
+  ): () => void {
+    let bytes = 0;
+    const count = (data: Buffer): void => {
+      bytes += data.length;
+      if (bytes > MAX_UNKNOWN_BYTES && !socket.isPaused) {
+        socket.pause();
+      }
+    };
+    req.socket.on('data', count);
+    return () => {
+      this.unknownClients.remove(req.socket);
+      req.socket.off('data', count);
+      socket.resume();
+    };
+  }
+
   private async runLink(
     peer: InstanceId,
     socket: WebSocket,
--- a/packages/settings/src/schema/limits_schema.ts
+++ b/packages/settings/src/schema/limits_schema.ts
@@ -34,6 +34,11 @@
    * listener has the same limit.
    */
   callerConnections: z.number().int().min(1).max(100_000).default(10_000),
+  /**
+   * Memory of the machine, in MiB; an eighth of it, and at least eight times
+   * `requestBodyBytes`, is for the bodies of requests in progress.
+   */
+  memoryMb: z.number().int().min(64).max(1_048_576).default(1_024),
   /** Maximum number of claims that one instance stores. */
   claims: z.number().int().min(1_000).max(50_000_000).default(1_000_000),
   /** Maximum total size of stored responses for retried requests, in bytes. */
