Free the requests that wait behind another one on a connection that closes

Node.js emits 'close' of the first of several pipelined responses alone, so the others stayed in progress, and their jobs went on. What is read of a refused body is limited to 512 KiB.

--- a/packages/daemon/src/http/http_app.test.ts
+++ b/packages/daemon/src/http/http_app.test.ts
@@ -179,6 +179,29 @@
     expect(app.receivedFromClients).toBe(1);
   });
 
+  // Node.js tells the end of a connection to the first of its responses alone, so the
+  // others were taken for requests in progress for good.
+  it('counts none of several requests of a client that has left', async () => {
+    const socket = openConnection();
+    socket.pause();
+    socket.write(LARGE_REQUEST + REQUEST + REQUEST);
+    await waitFor(() => handled === 3);
+    expect(app.inProgress).toBe(3);
+    socket.destroy();
+    await waitFor(() => app.inProgress === 0);
+  });
+
+  // Each connection could have thousands of requests in progress.
+  it('closes a connection with too many requests at once', async () => {
+    const socket = openConnection();
+    socket.pause();
+    socket.on('error', () => undefined);
+    socket.write(LARGE_REQUEST.repeat(17));
+    await waitFor(() => handled >= 16);
+    await waitFor(() => app.inProgress === 0);
+    expect(handled).toBe(16);
+  });
+
   it('counts no request of a client that has left', async () => {
     const socket = openConnection();
     socket.pause();
--- a/packages/daemon/src/http/http_app.ts
+++ b/packages/daemon/src/http/http_app.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {Server as NetServer} from 'node:net';
 import type {EventLog, Refusal} from '@papayarun/protocol';
 import {
@@ -41,6 +41,8 @@
 const DISCARD_MS = 2_000;
 /** Pieces that it may send meanwhile. */
 const MAX_DISCARDED_PIECES = 4_096;
+/** Bytes that are read of it; more would be garbage of many times their size. */
+const MAX_DISCARDED_BYTES = 512 * 1024;
 /** Connections kept free for those that arrive before others have been closed. */
 const SPARE_CONNECTIONS = 64;
 const SPARE_SHARE = 0.1;
@@ -274,13 +276,32 @@
       this.send(raw, res, refusalResponse(refusal), transfer);
     } finally {
       this.limitDiscarding(raw);
-      await closed(res);
+      await this.responseClosed(socket, res);
       transfer.release();
       this.connections.requestEnded(socket, abort);
       this.activeRequests--;
     }
   }
 
+  /**
+   * Resolves when the whole response was passed to the operating system, or its
+   * connection was closed. The HTTP server tells this of the first one alone of several
+   * responses that wait for a connection.
+   */
+  private responseClosed(socket: Socket, res: ServerResponse): Promise<void> {
+    return new Promise(resolve => {
+      if (res.closed) {
+        resolve();
+        return;
+      }
+      const removeHandler = this.connections.onceClosed(socket, resolve);
+      res.once('close', () => {
+        removeHandler();
+        resolve();
+      });
+    });
+  }
+
   /** Refuses a request whose transfer was ended, or closes its connection. */
   private endTransfer(
     cause: TransferEnd,
@@ -353,9 +374,14 @@
     }
     const {socket} = raw;
     let pieces = 0;
+    let bytes = 0;
     const timer = setTimeout(() => socket.destroy(), DISCARD_MS).unref();
-    raw.on('data', () => {
+    raw.on('data', (piece: Buffer) => {
       this.turn.addPiece();
+      bytes += piece.length;
+      if (bytes > MAX_DISCARDED_BYTES) {
+        raw.pause();
+      }
       if (++pieces > MAX_DISCARDED_PIECES) {
         socket.destroy();
       }
@@ -420,20 +446,6 @@
   return raw.rawHeaders.reduce((sum, text) => sum + text.length, 0);
 }
 
-/**
- * Resolves when the whole response was passed to the operating system, or its
- * connection was closed.
- */
-function closed(res: ServerResponse): Promise<void> {
-  return new Promise(resolve => {
-    if (res.closed) {
-      resolve();
-      return;
-    }
-    res.once('close', resolve);
-  });
-}
-
 function parseUrl(text: string): URL {
   try {
     return new URL(text, 'http://papayarun');
--- a/packages/daemon/src/http/open_connections.ts
+++ b/packages/daemon/src/http/open_connections.ts
@@ -3,6 +3,8 @@
 interface ConnectionUse {
   /** Aborts each request whose response has not been sent as a whole. */
   readonly aborts: Set<() => void>;
+  /** Called when the connection is closed. */
+  readonly closeHandlers: Set<() => void>;
   /**
    * Bytes that were read when its last response had been sent; undefined before.
    */
@@ -53,10 +55,34 @@
    */
   add(socket: Socket): void {
     const aborts = new Set<() => void>();
-    const unusedSinceMs = this.now();
-    this.uses.set(socket, {aborts, bytesRead: undefined, unusedSinceMs});
+    const closeHandlers = new Set<() => void>();
+    this.uses.set(socket, {
+      aborts,
+      closeHandlers,
+      bytesRead: undefined,
+      unusedSinceMs: this.now(),
+    });
     socket.once('end', () => aborts.forEach(abort => abort()));
-    socket.once('close', () => this.uses.delete(socket));
+    socket.once('close', () => {
+      this.uses.delete(socket);
+      aborts.forEach(abort => abort());
+      closeHandlers.forEach(handle => handle());
+    });
+  }
+
+  /**
+   * Calls a handler when a connection is closed, or at once if it is.
+   *
+   * @returns Removes the handler.
+   */
+  onceClosed(socket: Socket, handle: () => void): () => void {
+    const handlers = this.uses.get(socket)?.closeHandlers;
+    if (!handlers) {
+      handle();
+      return () => undefined;
+    }
+    handlers.add(handle);
+    return () => handlers.delete(handle);
   }
 
   /** Number of requests in progress on a connection. */
