--- a/packages/daemon/src/http/_lib/create_http_limits.ts
+++ b/packages/daemon/src/http/_lib/create_http_limits.ts
@@ -1,3 +1,4 @@
+import {SegmentPool} from '../../growing_buffer/segment_pool.js';
 import {TransferBudget} from '../../transfer_budget/transfer_budget.js';
 import type {HttpLimits} from '../http_limits.js';
 
@@ -14,6 +15,7 @@
 export function createHttpLimits(): HttpLimits {
   return {
     budget: TransferBudget.create(BODY_BYTES, () => performance.now()),
+    pool: SegmentPool.create(BODY_BYTES),
     onLimit: () => undefined,
   };
 }
--- a/packages/daemon/src/http/http_app.ts
+++ b/packages/daemon/src/http/http_app.ts
@@ -350,6 +350,7 @@
           maxBytes: this.opts.maxBodyBytes,
           baseBytes,
           transfer,
+          pool: this.opts.limits.pool,
           signal: ending,
           onPiece: () => this.turn.addPiece(),
           onRefused: () => this.opts.limits.onLimit('bodyRefused'),
--- a/packages/daemon/src/http/read_body.ts
+++ b/packages/daemon/src/http/read_body.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage} from 'node:http';
 import {DispatchError} from '@papayarun/protocol';
 import {GrowingBuffer} from '../growing_buffer/growing_buffer.js';
+import type {SegmentPool} from '../growing_buffer/segment_pool.js';
 import type {Transfer} from '../transfer_budget/transfer.js';
 import {overloadedError} from './overloaded_error.js';
 
@@ -12,6 +13,8 @@
   /** Memory that the request takes beside its body, in bytes. */
   readonly baseBytes: number;
   readonly transfer: Transfer;
+  /** Memory for large bodies. */
+  readonly pool: SegmentPool;
   /** Called for each piece that arrives, also for those that are discarded. */
   readonly onPiece: () => void;
   /** Aborts, with an error, if the body is no longer wanted. */
@@ -38,7 +41,7 @@
   opts: ReadBodyOptions,
 ): Promise<Buffer> {
   const {maxBytes, baseBytes, transfer, signal} = opts;
-  const body = GrowingBuffer.create(maxBytes);
+  const body = GrowingBuffer.create(maxBytes, opts.pool);
   let isWanted = true;
   return new Promise((resolve, reject) => {
     const fail = (err: unknown): void => {
@@ -74,7 +77,9 @@
     raw.on('end', () => {
       if (isWanted) {
         isWanted = false;
-        resolve(body.take());
+        const bytes = body.take();
+        transfer.force(baseBytes + bytes.length);
+        resolve(bytes);
       }
     });
     raw.on('error', fail);
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -3,6 +3,7 @@
 export * from './entry_instance/entry_instance.js';
 export * from './entry_instance/entry_instance_options.js';
 export * from './event_logger/event_logger.js';
+export * from './growing_buffer/segment_pool.js';
 export * from './http/finish_requests.js';
 export * from './http/http_app.js';
 export * from './http/http_limits.js';
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -35,6 +35,7 @@
 import type {EventLogger} from '../event_logger/event_logger.js';
 import {formCluster} from '../form_cluster/form_cluster.js';
 import {waitUntilUnused} from '../http/wait_until_unused.js';
+import {SegmentPool} from '../growing_buffer/segment_pool.js';
 import {checkBearerKey} from '../http/check_bearer_key.js';
 import {finishRequests} from '../http/finish_requests.js';
 import {HttpApp} from '../http/http_app.js';
@@ -471,6 +472,7 @@
     );
     return {
       budget: TransferBudget.create(bytes, () => this.clock.now()),
+      pool: SegmentPool.create(bytes),
       onLimit: limit => monitor.record(limit),
     };
   }
