--- a/packages/daemon/src/http/http_app.ts
+++ b/packages/daemon/src/http/http_app.ts
@@ -89,7 +89,7 @@
   private arrivals = 0;
   private clientRequests = 0;
   private readonly connections = OpenConnections.create(() => CLOCK.now());
-  private readonly turn = ReadingTurn.create(this.connections);
+  private readonly turn: ReadingTurn;
   private readonly checkTimer: NodeJS.Timeout;
   private isClosing = false;
 
@@ -97,9 +97,10 @@
     private readonly opts: HttpAppOptions,
     private readonly server: Server,
   ) {
+    this.turn = ReadingTurn.create(this.connections, opts.maxConnections);
     // What arrived while the process stood still is read before the check.
     this.checkTimer = setInterval(
-      () => void afterReading().then(() => opts.limits.budget.endSlow()),
+      () => void afterReading().then(() => this.checkLimits()),
       CHECK_MS,
     ).unref();
   }
@@ -132,7 +133,10 @@
       app.connections.add(socket);
       app.keepSpareConnections();
     });
-    server.on('drop', () => opts.limits.onLimit('connectionDropped'));
+    server.on('drop', () => {
+      opts.limits.onLimit('connectionDropped');
+      app.keepSpareConnections();
+    });
     server.on('request', (req, res) => void app.handleRequest(req, res));
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
@@ -214,19 +218,31 @@
     this.server.closeAllConnections();
   }
 
-  /** Closes a connection without a whole request if few more are allowed. */
-  private keepSpareConnections(): void {
+  private checkLimits(): void {
+    this.opts.limits.budget.endSlow();
+    for (let n = 0; n < SPARE_CONNECTIONS && this.keepSpareConnections(); n++) {
+      // Closes one after the other.
+    }
+  }
+
+  /**
+   * Closes a connection without a whole request if few more are allowed.
+   *
+   * @returns Whether one was closed.
+   */
+  private keepSpareConnections(): boolean {
     const {maxConnections, limits} = this.opts;
     const spare = Math.min(SPARE_CONNECTIONS, maxConnections * SPARE_SHARE);
     if (this.connections.count <= maxConnections - spare) {
-      return;
+      return false;
     }
-    if (
+    const isClosed =
       this.connections.closeUnfinished() ||
-      limits.budget.endSlowest(this, MIN_DISPLACED_AGE_MS)
-    ) {
+      limits.budget.endSlowest(this, MIN_DISPLACED_AGE_MS);
+    if (isClosed) {
       limits.onLimit('connectionEvicted');
     }
+    return isClosed;
   }
 
   private async handleRequest(
@@ -241,7 +257,7 @@
     }
     if (this.connections.requestsOn(socket) >= MAX_PIPELINED) {
       this.opts.limits.onLimit('requestsPipelined');
-      socket.destroy();
+      this.connections.close(socket);
       return;
     }
     this.activeRequests++;
@@ -313,7 +329,7 @@
       isAnswered ? 'answerUnread' : LIMIT_OF_BODY[cause],
     );
     if (isAnswered || cause === 'fragmented' || cause === 'displaced') {
-      raw.socket.destroy();
+      this.connections.close(raw.socket);
       return;
     }
     ending.abort(overloadedError('the body did not arrive in time'));
@@ -376,7 +392,10 @@
     const {socket} = raw;
     let pieces = 0;
     let bytes = 0;
-    const timer = setTimeout(() => socket.destroy(), DISCARD_MS).unref();
+    const timer = setTimeout(
+      () => this.connections.close(socket),
+      DISCARD_MS,
+    ).unref();
     raw.on('data', (piece: Buffer) => {
       this.turn.addPiece();
       bytes += piece.length;
@@ -384,7 +403,7 @@
         raw.pause();
       }
       if (++pieces > MAX_DISCARDED_PIECES) {
-        socket.destroy();
+        this.connections.close(socket);
       }
     });
     raw.once('end', () => clearTimeout(timer));
--- a/packages/daemon/src/http/open_connections.ts
+++ b/packages/daemon/src/http/open_connections.ts
@@ -29,6 +29,7 @@
  */
 export class OpenConnections {
   private readonly uses = new Map<Socket, ConnectionUse>();
+  private readonly closing = new Set<Socket>();
 
   private constructor(private readonly now: () => number) {}
 
@@ -44,9 +45,9 @@
     return new OpenConnections(now);
   }
 
-  /** Number of open connections. */
+  /** Number of connections that are open and not being closed. */
   get count(): number {
-    return this.uses.size;
+    return this.uses.size - this.closing.size;
   }
 
   /**
@@ -65,6 +66,7 @@
     socket.once('end', () => aborts.forEach(abort => abort()));
     socket.once('close', () => {
       this.uses.delete(socket);
+      this.closing.delete(socket);
       aborts.forEach(abort => abort());
       closeHandlers.forEach(handle => handle());
     });
@@ -136,15 +138,23 @@
       if (
         use.aborts.size === 0 &&
         nowMs - use.unusedSinceMs >= limitMs &&
-        !socket.destroyed
+        !this.closing.has(socket)
       ) {
-        socket.destroy();
+        this.close(socket);
         return true;
       }
     }
     return false;
   }
 
+  /** Closes a connection, which no longer counts. */
+  close(socket: Socket): void {
+    if (this.uses.has(socket)) {
+      this.closing.add(socket);
+    }
+    socket.destroy();
+  }
+
   /** Stops reading on all connections. */
   pause(): void {
     for (const socket of this.uses.keys()) {
--- a/packages/daemon/src/http/reading_turn.ts
+++ b/packages/daemon/src/http/reading_turn.ts
@@ -1,11 +1,15 @@
 import type {OpenConnections} from './open_connections.js';
 
 /**
- * Work in one turn of the event loop, in pieces of bodies, after which reading stops
- * until the next turn; about a tenth of a second. Non-pipelining clients don't reach
- * it: they have one request each on at most 3,000 connections.
+ * Least work in one turn of the event loop, in pieces of bodies, after which reading
+ * stops until the next turn; about a tenth of a second.
  */
-const MAX_PIECES = 65_536;
+const MIN_PIECES = 65_536;
+/**
+ * Work for each connection. A request and its body in up to 16 pieces fit, so that all
+ * that has arrived from clients with one request each is read in one turn.
+ */
+const PIECES_PER_CONNECTION = 32;
 /** Work of a request, in pieces of bodies. */
 const PIECES_PER_REQUEST = 16;
 
@@ -21,21 +25,25 @@
 
   private constructor(
     private readonly connections: Pick<OpenConnections, 'pause' | 'resume'>,
+    private readonly maxPieces: number,
   ) {}
 
   /**
    * Creates the bound of a server.
    *
    * @param connections - Connections of the server.
+   * @param maxConnections - Largest number of them.
    * @returns The bound.
    * @throws Never.
    * @example
-   * const turn = ReadingTurn.create(connections);
+   * const turn = ReadingTurn.create(connections, 3_000);
    */
   static create(
     connections: Pick<OpenConnections, 'pause' | 'resume'>,
+    maxConnections: number,
   ): ReadingTurn {
-    return new ReadingTurn(connections);
+    const pieces = maxConnections * PIECES_PER_CONNECTION;
+    return new ReadingTurn(connections, Math.max(MIN_PIECES, pieces));
   }
 
   /** Notes that a request has arrived. */
@@ -54,7 +62,7 @@
       this.isResetDue = true;
       setImmediate(() => this.reset());
     }
-    if (this.pieces >= MAX_PIECES && !this.isPaused) {
+    if (this.pieces >= this.maxPieces && !this.isPaused) {
       this.isPaused = true;
       this.connections.pause();
     }
--- a/packages/membership/src/ws_peer_network/ws_peer_network.test.ts
+++ b/packages/membership/src/ws_peer_network/ws_peer_network.test.ts
@@ -1,7 +1,8 @@
+import type {Socket} from 'node:net';
 import type {InstanceId, JobId} from '@papayarun/protocol';
 import {SeededRandom, SystemClock} from '@papayarun/protocol';
 import {afterEach, describe, expect, it} from 'vitest';
-import type {WebSocket} from 'ws';
+import {WebSocket} from 'ws';
 import {WsPeerNetwork} from './ws_peer_network.js';
 
 const HOST = '127.0.0.1';
@@ -149,6 +150,23 @@
   });
 });
 
+// A client without the key could send as much as a peer, 32 MiB for each connection.
+it('reads no more than a handshake from a client that has not shown the key', async () => {
+  const network = await openNetwork('a');
+  network.start();
+  const client = new WebSocket(`ws://${HOST}:${network.port}`);
+  const closed = new Promise<void>(resolve => client.once('close', resolve));
+  client.on('error', () => undefined);
+  await new Promise<void>(resolve => client.once('open', resolve));
+  const [accepted] = acceptedSockets(network);
+  client.send(Buffer.alloc(900_000));
+  await closed;
+  const raw = (accepted as unknown as {_socket: Socket | null})._socket;
+  expect(raw?.bytesRead ?? 0).toBeLessThan(200_000);
+  expect(network.connectedPeers()).toEqual([]);
+  await network.stop();
+});
+
 /** Sockets of the links that other instances have dialled. */
 function acceptedSockets(network: WsPeerNetwork): Iterable<WebSocket> {
   return (network as unknown as {server: {clients: Set<WebSocket>}}).server
