--- a/packages/daemon/src/growing_buffer/growing_buffer.ts
+++ b/packages/daemon/src/growing_buffer/growing_buffer.ts
@@ -107,6 +107,13 @@
 
   private appendToSegments(piece: Uint8Array): void {
     const {segmentBytes} = this.pool;
+    const start = this.length % segmentBytes;
+    if (start > 0 && start + piece.length <= segmentBytes) {
+      // Most pieces; a part of a piece would be a new object.
+      this.segments.at(-1)!.set(piece, start);
+      this.length += piece.length;
+      return;
+    }
     for (let at = 0; at < piece.length;) {
       const offset = this.length % segmentBytes;
       if (offset === 0) {
--- a/packages/daemon/src/http/read_body.ts
+++ b/packages/daemon/src/http/read_body.ts
@@ -43,6 +43,15 @@
   const {maxBytes, baseBytes, transfer, signal} = opts;
   const body = GrowingBuffer.create(maxBytes, opts.pool);
   let isWanted = true;
+  let reservedCapacity = 0;
+  /** Whether there is memory; asked only when the buffer grows. */
+  const reserve = (capacity: number): boolean => {
+    if (capacity === reservedCapacity) {
+      return true;
+    }
+    reservedCapacity = capacity;
+    return transfer.reserve(baseBytes + capacity);
+  };
   return new Promise((resolve, reject) => {
     const fail = (err: unknown): void => {
       if (isWanted) {
@@ -56,7 +65,7 @@
       const capacity = body.capacityFor(piece.length);
       if (capacity === undefined) {
         fail(tooLarge(maxBytes));
-      } else if (transfer.reserve(baseBytes + capacity)) {
+      } else if (reserve(capacity)) {
         body.append(piece);
         transfer.received(piece.length);
       } else if (isWanted) {
