Hold waiting tasks while all jobs are held

When a lost entry had more than 4,096 jobs in flight, callers that came back before the loss was known could see their job run twice: new jobs were held, but tasks of jobs that had just been accepted were started as soon as a target was free. otherRunsForMs counted only submissions with a name. It now also counts the time for which all jobs are held, which is bounded by runsEndAfterMs.

New tests check that waiting tasks may start after LEASE_MS + NOTICES_MS, and that nothing else waits when no name was dropped. packages/daemon/src/{interrupted_jobs,entry_instance}: 236 tests of 25 files pass.

--- a/packages/daemon/src/interrupted_jobs/dropped_interruptions.test.ts
+++ b/packages/daemon/src/interrupted_jobs/dropped_interruptions.test.ts
@@ -170,7 +170,6 @@
   expect(group.entry.mayRun(idOf(OTHER_LOST, 0))).toBe(false);
 });
 
-// KNOWN-RED.txt
 it('starts no waiting task of a job that may be one of the dropped ones', async () => {
   const group = new Group();
   await group.name(LOST, ENTRY, TOO_MANY);
@@ -180,3 +179,25 @@
   expect(group.entry.mayRun(waiting)).toBe(true);
   expect(group.entry.otherRunsForMs(waiting, () => false)).toBeGreaterThan(0);
 });
+
+// Waiting jobs would not be served before their deadline.
+it.each([ENTRY, STATE])(
+  'starts waiting tasks again when the runs that %s has dropped have ended',
+  async to => {
+    const group = new Group();
+    await group.name(LOST, to, TOO_MANY);
+    group.entry.recordLoss(LOST);
+    group.relay.recordLoss(LOST);
+    await group.clock.advance(LEASE_MS + NOTICES_MS);
+    expect(group.entry.otherRunsForMs(idOf(LOST, 0), () => false)).toBe(0);
+  },
+);
+
+it('starts waiting tasks of jobs without other runs while nothing was dropped', async () => {
+  const group = new Group();
+  await group.name(LOST, ENTRY, MANY);
+  group.entry.recordLoss(LOST);
+  await group.clock.advance(5);
+  const other = idOf(OTHER_LOST, 0);
+  expect(group.entry.otherRunsForMs(other, () => false)).toBe(0);
+});
--- a/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
+++ b/packages/daemon/src/interrupted_jobs/interrupted_jobs.ts
@@ -128,7 +128,8 @@
   }
 
   /**
-   * Time for which runs of a job may go on that a scheduler doesn't know of.
+   * Time for which runs of a job may go on that a scheduler doesn't know of. While
+   * all jobs are held, these may be runs of a submission that nobody could name.
    *
    * @param jobId - The job.
    * @param isKnown - Whether it knows the runs of a submission.
@@ -138,7 +139,7 @@
     jobId: JobId,
     isKnown: (submissionId: SubmissionId) => boolean,
   ): number {
-    return this.held.forMs(jobId, isKnown);
+    return Math.max(this.held.allForMs, this.held.forMs(jobId, isKnown));
   }
 
   /**
