Keep members of a claim view that were not heard yet, and their claims

In a rolling restart callers got 409 generationClosed for ids of a prefix in use. A restarted member that had no link to another one yet removed it from the claim view at once; when the third one had left, the restarted one was alone in the view. The removed one knew it only by its earlier boot id, took that for a newer one and reset the claims, although they were all held.

A member that was not heard yet is now kept for the peer timeout, counted from when it is first seen in the view. An incarnation counts as a later one only if its heartbeat has the log index of the view or a higher one; boot ids have no order. Messages and records are unchanged. In the simulation, heartbeats now have the log index, and members can leave in order.

--- a/packages/claims/src/_test/simulated_data_centre.ts
+++ b/packages/claims/src/_test/simulated_data_centre.ts
@@ -32,6 +32,7 @@
 const TIMEOUT_MS = 250;
 const RUN_MS = 60;
 const WAIT_MS = 1_500;
+const LEAVE_MS = 1_000;
 const NEVER_ABORTED = new AbortController().signal;
 
 /**
@@ -47,6 +48,7 @@
   private readonly random;
   private readonly net;
   private controlState = EMPTY_CONTROL_STATE;
+  private logIndex = 0;
   private lastNumber = 0;
 
   /**
@@ -92,8 +94,8 @@
       ownState: () => 'ready',
       heartbeatFields: () => ({
         role: 'all',
-        state: 'ready',
-        stateIndex: 0,
+        state: process.isDraining ? 'draining' : 'ready',
+        stateIndex: process.stateIndex,
         currentAgeMs: 0,
         digest: {own: {}, dataCentre: {}},
       }),
@@ -133,6 +135,7 @@
       viewMembership,
       periodMs: HEARTBEAT_MS,
       view,
+      stateIndex: () => process.stateIndex,
       propose: command => this.propose(process, command),
       startNewIncarnation,
       isStateRecent: () => process.canReachLog,
@@ -144,12 +147,15 @@
       membership,
       viewMembership,
       state: EMPTY_CONTROL_STATE,
+      stateIndex: 0,
       isUp: true,
+      isDraining: false,
       canReachLog: true,
       stop: () => {
         membership.stop();
         viewReconciler.stop();
       },
+      leave: () => viewReconciler.leave(LEAVE_MS),
     };
     this.processes.set(name, process);
     membership.start();
@@ -167,6 +173,16 @@
     }
   }
 
+  /** Ends a process in order, once it has left the claim view. */
+  async terminate(name: InstanceId): Promise<void> {
+    const process = this.processes.get(name);
+    if (process) {
+      process.isDraining = true;
+      await process.leave();
+      this.crash(name);
+    }
+  }
+
   freeze(name: InstanceId): void {
     this.processes.get(name)?.end.gate.close();
   }
@@ -269,9 +285,10 @@
       if (
         process.isUp &&
         process.canReachLog &&
-        process.state !== this.controlState
+        process.stateIndex !== this.logIndex
       ) {
         process.state = this.controlState;
+        process.stateIndex = this.logIndex;
         void process.viewMembership.syncClaims();
       }
     }
@@ -287,6 +304,7 @@
     }
     const {state, result} = applyCommand(this.controlState, command);
     this.controlState = state;
+    this.logIndex++;
     await this.clock.sleep(this.random.next() * 20);
     await process.end.gate.pass();
     return result;
--- a/packages/claims/src/_test/simulated_process.ts
+++ b/packages/claims/src/_test/simulated_process.ts
@@ -15,7 +15,12 @@
   readonly membership: Membership;
   readonly viewMembership: ViewMembership;
   readonly stop: () => void;
+  /** Leaves the claim view, as before an orderly end. */
+  readonly leave: () => Promise<void>;
   state: ControlState;
+  /** Index of the log of which `state` is the result. */
+  stateIndex: number;
   isUp: boolean;
+  isDraining: boolean;
   canReachLog: boolean;
 }
--- a/packages/claims/src/claims/claims.test.ts
+++ b/packages/claims/src/claims/claims.test.ts
@@ -15,6 +15,10 @@
 
 const DATA_CENTRE = 'centro' as DataCentreId;
 const WAIT_MS = 1_500;
+/** Time for which a restarted member is down, in milliseconds. */
+const DOWN_MS = 350;
+/** Longest delay of a link, which is shorter than the peer timeout, in ms. */
+const MAX_DELAY_MS = 200;
 const NUM_RUNS = Number(process.env['PAPAYARUN_RUNS'] ?? 150);
 const SEED = Number(process.env['PAPAYARUN_SEED'] ?? 40);
 
@@ -78,6 +82,48 @@
     );
   });
 
+  // The member without a link reset the claims that the restarted one held.
+  it('are kept when a member restarts without a link to another one, and the third one ends', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.nat(2 ** 30),
+        fc.integer({min: 60, max: MAX_DELAY_MS}),
+        fc.integer({min: 60, max: MAX_DELAY_MS}),
+        async (seed, endDelayMs, linkDelayMs) => {
+          const dataCentre = new SimulatedDataCentre(seed);
+          const [a, b, c] = INSTANCE_IDS as [
+            InstanceId,
+            InstanceId,
+            InstanceId,
+          ];
+          await dataCentre.clock.advance(2_000);
+          const id = dataCentre.newId();
+          dataCentre.send(a, id);
+          await dataCentre.clock.advance(500);
+          void dataCentre.terminate(b);
+          await dataCentre.clock.advance(DOWN_MS);
+          dataCentre.cut(b, c);
+          dataCentre.start(b);
+          await dataCentre.clock.advance(endDelayMs);
+          void dataCentre.terminate(a);
+          await dataCentre.clock.advance(linkDelayMs);
+          dataCentre.connect(b, c);
+          await dataCentre.clock.advance(2_000);
+          const views = dataCentre.views();
+          expect(views.map(view => view?.generation)).toEqual([1, 1]);
+          expect(views[0]?.members.map(m => m.instanceId)).toEqual([b, c]);
+          dataCentre.send(b, id);
+          dataCentre.send(c, id);
+          await dataCentre.clock.advance(2 * WAIT_MS);
+          expect(dataCentre.startsById.get(id)).toBe(1);
+          expect(dataCentre.verdictsById.get(id)).toEqual(new Set(['ran']));
+          [b, c].forEach(name => dataCentre.crash(name));
+        },
+      ),
+      {seed: SEED, numRuns: NUM_RUNS},
+    );
+  });
+
   it('withdraw an own claim that reached a joining member after its withdrawal', async () => {
     const dataCentre = new SimulatedDataCentre(44);
     const [a, b, c] = INSTANCE_IDS as [InstanceId, InstanceId, InstanceId];
--- a/packages/claims/src/view_reconciler/plan_view_change.ts
+++ b/packages/claims/src/view_reconciler/plan_view_change.ts
@@ -1,4 +1,3 @@
-import type {BootId, InstanceId} from '@papayarun/protocol';
 import type {ClaimView, ViewMember} from '@papayarun/releases';
 import type {CandidateMember} from './candidate_member.js';
 
@@ -14,8 +13,10 @@
   readonly isLeaving: boolean;
   /** Live instances of the data centre other than this one. */
   readonly live: readonly CandidateMember[];
-  /** Latest boot id received from an instance, alive or dead. */
-  readonly lastBoot: (id: InstanceId) => BootId | undefined;
+  /** Later incarnation of a member's instance, alive or dead, if one is known. */
+  readonly laterIncarnation: (member: ViewMember) => ViewMember | undefined;
+  /** Whether a member that was not heard yet may be alive. */
+  readonly isAwaited: (member: ViewMember) => boolean;
 }
 
 /**
@@ -43,8 +44,9 @@
  * Chooses the next change of a claim view.
  *
  * @description Only a synced member adds or removes members, so that a member
- * of the next view always holds the claims. If every member is known under a
- * new boot id, all claims are lost and the view is reset.
+ * of the next view always holds the claims. It keeps members that it has not
+ * heard yet, since the link to them may be missing after a restart. If a later
+ * incarnation of every member is known, all claims are lost and the view is reset.
  * @param input - View, live instances and the state of this instance.
  * @returns The change to propose.
  * @throws Never.
@@ -53,8 +55,18 @@
  */
 export function planViewChange(input: ViewChangeInput): ViewChange {
   const {view, self} = input;
-  const live = input.live.filter(m => !m.isDraining || isInView(view, m));
-  const wantedMembers = sortMembers(input.isLeaving ? live : [self, ...live]);
+  const awaited = (view?.members ?? []).filter(
+    m => m.instanceId !== self.instanceId && input.isAwaited(m),
+  );
+  const awaitedIds = new Set(awaited.map(m => m.instanceId));
+  // An incarnation beside an awaited one may be an earlier one.
+  const live = input.live.filter(
+    m => !awaitedIds.has(m.instanceId) && (!m.isDraining || isInView(view, m)),
+  );
+  const others = [...live, ...awaited];
+  const wantedMembers = sortMembers(
+    input.isLeaving ? others : [self, ...others],
+  );
   if (wantedMembers.length === 0) {
     return {kind: 'none'};
   }
@@ -66,29 +78,18 @@
       ? {kind: 'none'}
       : {kind: 'members', members: wantedMembers};
   }
-  const latestIncarnations = view.members.map(member => ({
-    instanceId: member.instanceId,
-    boot:
-      member.instanceId === self.instanceId
-        ? self.boot
-        : input.lastBoot(member.instanceId),
-  }));
-  const wasReplaced = (i: number): boolean =>
-    latestIncarnations[i]!.boot !== undefined &&
-    latestIncarnations[i]!.boot !== view.members[i]!.boot;
-  // Indices of the members other than this incarnation.
-  const others = view.members.flatMap((m, i) => (isSame(m, self) ? [] : [i]));
-  if (!others.every(wasReplaced) || input.isLeaving) {
+  const replaced = view.members.flatMap(
+    m =>
+      (m.instanceId === self.instanceId ? self : input.laterIncarnation(m)) ??
+      [],
+  );
+  if (replaced.length < view.members.length || input.isLeaving) {
     return {kind: 'none'};
   }
   if (view.members.some(m => isSame(m, self))) {
     return {kind: 'renew'};
   }
-  return {
-    kind: 'reset',
-    members: wantedMembers,
-    replaced: latestIncarnations as ViewMember[],
-  };
+  return {kind: 'reset', members: wantedMembers, replaced};
 }
 
 function isInView(view: ClaimView | undefined, member: ViewMember): boolean {
--- a/packages/claims/src/view_reconciler/view_reconciler.ts
+++ b/packages/claims/src/view_reconciler/view_reconciler.ts
@@ -11,6 +11,7 @@
   ControlResult,
 } from '@papayarun/releases';
 import type {ViewMembership} from '../view_membership/view_membership.js';
+import {ObservedView} from './observed_view.js';
 import type {ViewChange} from './plan_view_change.js';
 import {planViewChange} from './plan_view_change.js';
 
@@ -27,6 +28,8 @@
   /** Interval between two checks of the view, in milliseconds. */
   readonly periodMs: number;
   readonly view: () => ClaimView | undefined;
+  /** Index of the replicated log that this instance has applied. */
+  readonly stateIndex: () => number;
   /**
    * Commits a command to the replicated log. The result is undefined if it is
    * not known whether the command was committed, or if it failed.
@@ -48,7 +51,16 @@
   private readonly stopping = new AbortController();
   private isLeaving = false;
 
-  private constructor(private readonly opts: ViewReconcilerOptions) {}
+  private readonly observed: ObservedView;
+
+  private constructor(private readonly opts: ViewReconcilerOptions) {
+    const {clock, membership} = opts;
+    this.observed = ObservedView.create({
+      clock,
+      peer: id => membership.peer(id),
+      timeoutOf: id => membership.timeoutOf(id),
+    });
+  }
 
   /**
    * Creates the component.
@@ -108,7 +120,9 @@
   }
 
   private planChange(): ViewChange {
-    const {membership, self, viewMembership} = this.opts;
+    const {membership, self, stateIndex, viewMembership} = this.opts;
+    const view = this.opts.view();
+    this.observed.update(view, stateIndex());
     const live = membership
       .livePeers()
       .filter(p => p.heartbeat.dataCentre === this.opts.dataCentre)
@@ -118,12 +132,13 @@
         isDraining: p.heartbeat.state === 'draining',
       }));
     return planViewChange({
-      view: this.opts.view(),
+      view,
       self: {instanceId: self, boot: membership.boot},
       isSynced: viewMembership.isSynced(),
       isLeaving: this.isLeaving,
       live,
-      lastBoot: id => membership.peer(id)?.heartbeat.boot,
+      laterIncarnation: member => this.observed.laterIncarnation(member),
+      isAwaited: member => this.observed.isAwaited(member),
     });
   }
 
--- a/packages/daemon/src/instance/instance.ts
+++ b/packages/daemon/src/instance/instance.ts
@@ -420,6 +420,7 @@
       viewMembership: this.viewMembership,
       periodMs: cfg.timing.heartbeatMs,
       view: () => this.claimView(),
+      stateIndex: () => this.store.index,
       propose: command =>
         this.controlClient.propose(command).catch(() => undefined),
       startNewIncarnation: () => this.startNewIncarnation(),
