Answer a status while the listener for callers is closed

The status of a papayarund that shuts down was answered with an internal error, event `unexpected`: TypeError. The port was read from the listener, which has no address once it is closed. HttpApp now keeps the port it listened on. The new test failed with this TypeError before; packages/daemon/src/http: 25 tests of 6 files pass.

--- a/packages/daemon/src/http/http_app.test.ts
+++ b/packages/daemon/src/http/http_app.test.ts
@@ -57,6 +57,16 @@
     return socket;
   }
 
+  // The status of an instance that shuts down, which has the port, failed.
+  it('knows its port when it listens no more', async () => {
+    const {port} = app;
+    expect(port).toBeGreaterThan(0);
+    await app.stopListening();
+    expect(app.port).toBe(port);
+    app.closeAll();
+    expect(app.port).toBe(port);
+  });
+
   it('does not take an answer for sent while the client has yet to read a part of it', async () => {
     const socket = openConnection();
     socket.pause();
--- a/packages/daemon/src/http/http_app.ts
+++ b/packages/daemon/src/http/http_app.ts
@@ -47,6 +47,7 @@
   private clientRequests = 0;
   private readonly connections = OpenConnections.create();
   private isClosing = false;
+  private listenedPort = 0;
 
   private constructor(
     private readonly opts: HttpAppOptions,
@@ -84,11 +85,13 @@
       server.once('error', reject);
       server.listen(listen.port, listen.host, LISTEN_BACKLOG, resolve);
     });
+    app.listenedPort = (server.address() as AddressInfo).port;
     return app;
   }
 
+  /** Port on which it listens, or did until it was closed. */
   get port(): number {
-    return (this.server.address() as AddressInfo).port;
+    return this.listenedPort;
   }
 
   /**
