Schedule thousands of runs at once with work in proportion to their number

Callers of a job of 10,000 tasks that need nothing, or of 9,000 steps of one such task, got 504 at their deadline, after the entry that scheduled it had computed for 3.6 and 3.8 s; in one run the next large jobs got 503 noTargets at once.

Causes, each with work that grew with the square of the runs: - each end went through all tasks and steps for steps to unblock, and for completion; - each order added up the needs and the lease limits of all runs of its target; - each overdue run, and each stopped one, asked its target for a list of all runs; - each check of a long run looked at the runs of all other targets; - each end was answered by a list of all runs, and each answer to an order of a large job by a round over all its tasks. Besides, thousands of orders waited for the 8 connections of a target; those that were not sent within 100 ms counted against it, so that all targets were ejected or excluded.

Changes: StepProgress goes on where the last check ended; free resources are kept until a run ends, the lease limit for a round; one list a session and check for overdue runs; holds that ask for runs are shared beyond four on their way; pauses between lists of 1,000 runs or more and between rounds over jobs of 1,000 tasks or more; a target gets no more orders to start while 64 are unanswered. A target that has rejected a start for lack of capacity gets no task without needs until its next hold either.

"goes on in the next turn of the event loop after some tasks" has 16 targets instead of 2: it expected 1,000 orders that two targets had not answered, which is what ejected them.

--- a/packages/scheduling/src/_lib/target_session.ts
+++ b/packages/scheduling/src/_lib/target_session.ts
@@ -160,6 +160,14 @@
     return this.lease.latestRunEndMs;
   }
 
+  /**
+   * Whether the target gets no orders to start for now: one was rejected for lack
+   * of capacity since the last hold, or too many are unanswered.
+   */
+  get isBusy(): boolean {
+    return this.targetRuns.isFull || this.orders.hasManyUnanswered;
+  }
+
   /** Whether the target has runs that no job has claimed. */
   get hasOrphans(): boolean {
     return this.targetRuns.hasOrphans;
@@ -304,8 +312,8 @@
   /**
    * Asks for the state of the runs at once, besides a hold that may be waiting.
    */
-  refreshRuns(): Promise<void> {
-    return this.holds.refreshRuns();
+  async refreshRuns(): Promise<void> {
+    await this.holds.refreshRuns();
   }
 
   /** Ends an ejection whose time has passed. */
@@ -319,10 +327,17 @@
    * End of a lease that is granted now, on the target's clock, in milliseconds. A
    * lease is that of all runs on the target.
    *
-   * @param permittedUntilMs - Monotonic time by which it has to end besides, for a
-   *   run that isn't on the target yet.
+   * @param limitMs - Monotonic time by which it has to end.
+   */
+  newLeaseEndMs(limitMs: number): number {
+    return this.lease.newEndMs(limitMs);
+  }
+
+  /**
+   * Monotonic time by which the lease of the runs has to end, in milliseconds;
+   * infinite if nothing limits it.
    */
-  newLeaseEndMs(permittedUntilMs = Infinity): number {
-    return this.lease.newEndMs(permittedUntilMs);
+  leaseLimitMs(): number {
+    return this.lease.limitMs();
   }
 }
--- a/packages/scheduling/src/job_progress/job_progress.ts
+++ b/packages/scheduling/src/job_progress/job_progress.ts
@@ -1,9 +1,11 @@
 import {hasUnplacedTask} from '../_lib/has_unplaced_task.js';
 import type {JobRecord} from '../_lib/job_record.js';
 import type {PlacedRun} from '../_lib/placed_run.js';
+import type {TaskRecord} from '../_lib/task_record.js';
 import type {JobEnds} from '../job_ends/job_ends.js';
 import type {SchedulerOptions} from '../scheduler/scheduler_options.js';
 import type {WaitingJobs} from '../waiting_jobs/waiting_jobs.js';
+import {StepProgress} from './step_progress.js';
 import {unblockSteps} from './unblock_steps.js';
 
 /** Parts of the scheduler that the progress of a job changes. */
@@ -17,6 +19,8 @@
  * Moves jobs on when tasks of them are done, or have to run again.
  */
 export class JobProgress {
+  private readonly steps = new WeakMap<JobRecord, StepProgress>();
+
   private constructor(
     private readonly opts: SchedulerOptions,
     private readonly parts: JobProgressParts,
@@ -43,9 +47,16 @@
     }
   }
 
+  /** Lets the steps wait for targets that may begin since a task is done. */
+  unblockAfter(record: JobRecord, {stepIndex}: TaskRecord): void {
+    if (this.stepsOf(record).unblockAfter(stepIndex)) {
+      this.parts.waiting.enqueue(record);
+    }
+  }
+
   /** Ends a job of which all tasks are done. */
   completeIfDone(record: JobRecord): void {
-    if (record.tasks.every(task => task.state === 'done')) {
+    if (this.stepsOf(record).isJobDone()) {
       const {samples} = record;
       this.parts.jobEnds.concludeJob(record, {kind: 'completed', samples});
     }
@@ -75,4 +86,14 @@
     this.parts.waiting.enqueue(record);
     this.parts.schedulePlacement();
   }
+
+  private stepsOf(record: JobRecord): StepProgress {
+    const known = this.steps.get(record);
+    if (known) {
+      return known;
+    }
+    const progress = StepProgress.create(record);
+    this.steps.set(record, progress);
+    return progress;
+  }
 }
--- a/packages/scheduling/src/job_watch/job_watch.ts
+++ b/packages/scheduling/src/job_watch/job_watch.ts
@@ -44,6 +44,8 @@
  */
 export class JobWatch {
   private readonly sleeper: Sleeper;
+  /** Sessions with a run that has become overdue since the last check. */
+  private readonly overdue = new Set<OrderedRun['session']>();
 
   private constructor(
     private readonly opts: SchedulerOptions,
@@ -87,6 +89,7 @@
       for (const record of [...openJobs.values()]) {
         this.checkJob(record, nowMs);
       }
+      this.refreshOverdue();
       targets.check(nowMs);
       placement.scheduleIfTargetsChanged();
     }
@@ -158,9 +161,8 @@
     const usualMs = record.expectedMs[task.stepIndex]!;
     const ranMs = nowMs - run.orderedMs;
     if (!run.isOverdueChecked && isOverdue(run, nowMs)) {
-      // The answer that listed the end of the run may have been lost.
       run.isOverdueChecked = true;
-      void session.refreshRuns();
+      this.overdue.add(session);
     }
     const mayRepeat = this.parts.targets.evacuationPhase.kind !== 'evacuated';
     if (run.state === 'running' && ranMs > usualMs && mayRepeat) {
@@ -171,6 +173,17 @@
     }
   }
 
+  /**
+   * Asks the targets of overdue runs for their runs, since the answer that listed
+   * the end of a run may have been lost.
+   */
+  private refreshOverdue(): void {
+    for (const session of this.overdue) {
+      void session.refreshRuns();
+    }
+    this.overdue.clear();
+  }
+
   private describeLongRun(
     record: JobRecord,
     task: TaskRecord,
@@ -182,6 +195,14 @@
     const {stepIndex} = task;
     const {session} = run;
     const {needs} = job.steps[stepIndex]!;
+    const hasRoomElsewhere = (): boolean =>
+      [...this.parts.targets.sessionsInUse()].some(
+        other =>
+          other !== session &&
+          other.isAvailable &&
+          isAllowed(record, task, other) &&
+          fitsIn(needs, other.freeResources()),
+      );
     return {
       ranMs: nowMs - run.orderedMs,
       expectedMs: expectedMs[stepIndex]!,
@@ -190,13 +211,10 @@
       isRepeated: task.longestStoppedMs > 0,
       targetQuietMs: nowMs - Math.max(session.lastDoneMs, run.orderedMs),
       isTargetSuspect: session.health.kind !== 'sound',
-      hasRoomElsewhere: [...this.parts.targets.sessionsInUse()].some(
-        other =>
-          other !== session &&
-          other.isAvailable &&
-          isAllowed(record, task, other) &&
-          fitsIn(needs, other.freeResources()),
-      ),
+      // Looked up for few of the long runs, and takes time for each target.
+      get hasRoomElsewhere() {
+        return hasRoomElsewhere();
+      },
       leftMs,
     };
   }
--- a/packages/scheduling/src/open_runs/open_runs.ts
+++ b/packages/scheduling/src/open_runs/open_runs.ts
@@ -75,6 +75,8 @@
    * @param session - Session with the target of the run.
    * @param runNumber - Number of the run.
    * @param isAdopted - Whether an earlier scheduler has ordered it.
+   * @param leaseLimitMs - Monotonic time by which the lease of the other runs of
+   *   the target has to end.
    * @returns The run.
    */
   createRun(
@@ -83,6 +85,7 @@
     session: TargetSession<PlacedRun>,
     runNumber: number,
     isAdopted: boolean,
+    leaseLimitMs = session.leaseLimitMs(),
   ): PlacedRun {
     const {job} = record;
     const permittedUntilMs = this.permissionEndMs(job.id);
@@ -98,7 +101,9 @@
       orderedMs: this.opts.clock.now(),
       confirmedMs: undefined,
       expectedMs: record.expectedMs[task.stepIndex]! * session.slowness,
-      leaseEndMs: session.newLeaseEndMs(permittedUntilMs),
+      leaseEndMs: session.newLeaseEndMs(
+        Math.min(permittedUntilMs, leaseLimitMs),
+      ),
       permittedUntilMs,
       isListed: isAdopted,
       mayBeLost: false,
--- a/packages/scheduling/src/placement/count_slots.ts
+++ b/packages/scheduling/src/placement/count_slots.ts
@@ -24,9 +24,15 @@
   readonly totalSlots: number;
   freeSlots: number;
 } {
-  const runs = candidates.flatMap(({session}) => [...session.runs.values()]);
-  const cores = runs.reduce((sum, run) => sum + run.needs.cores, 0);
-  const meanCores = cores / Math.max(1, runs.length);
+  let runs = 0;
+  let cores = 0;
+  for (const {session} of candidates) {
+    runs += session.runs.size;
+    for (const {needs} of session.runs.values()) {
+      cores += needs.cores;
+    }
+  }
+  const meanCores = cores / Math.max(1, runs);
   if (meanCores === 0) {
     return {totalSlots: Infinity, freeSlots: Infinity};
   }
--- a/packages/scheduling/src/placement/placement.ts
+++ b/packages/scheduling/src/placement/placement.ts
@@ -26,6 +26,16 @@
  * arrives meanwhile waits.
  */
 const MAX_PLACED_PER_ROUND = 128;
+/**
+ * Number of tasks of a job from which a round that looks at them is followed by a
+ * pause. The answer to each order of such a job may ask for a round.
+ */
+const LARGE_JOB_TASKS = 1_000;
+/**
+ * Pause after a round for each task of the large jobs that wait, in milliseconds;
+ * several times as long as the round takes for it.
+ */
+const PAUSE_PER_TASK_MS = 0.0005;
 
 /** Parts of the scheduler that the placement reads or changes. */
 interface PlacementParts {
@@ -45,6 +55,9 @@
   private isPlacementDue = false;
   /** Whether the last round has left tasks to the next one. */
   private isNextRoundDue = false;
+  /** Whether a round is put off until the pause after the last one has ended. */
+  private isPaused = false;
+  private isRoundPutOff = false;
   private isOtherRunCheckDue = false;
   /** Whether a target gets no new run until those that wait for one are heard. */
   private isLeaseShort = false;
@@ -101,6 +114,10 @@
     ) {
       return;
     }
+    if (this.isPaused) {
+      this.isRoundPutOff = true;
+      return;
+    }
     this.placedInPhase = targets.evacuationPhase.kind;
     if (this.placedInPhase === 'evacuated') {
       this.failWaitingTasks();
@@ -143,7 +160,11 @@
         break;
       }
     }
+    const largeJobTasks = this.countTasksOfLargeJobs();
     waiting.removePlaced();
+    if (largeJobTasks > 0 && placedCount < MAX_PLACED_PER_ROUND) {
+      void this.pause(largeJobTasks * PAUSE_PER_TASK_MS);
+    }
   }
 
   /** Fails the jobs whose waiting tasks may not be started any more. */
@@ -208,6 +229,25 @@
     this.schedulePlacement();
   }
 
+  private countTasksOfLargeJobs(): number {
+    let count = 0;
+    for (const {tasks} of this.parts.waiting.list) {
+      count += tasks.length >= LARGE_JOB_TASKS ? tasks.length : 0;
+    }
+    return count;
+  }
+
+  /** Puts rounds off for a time, in milliseconds. */
+  private async pause(ms: number): Promise<void> {
+    this.isPaused = true;
+    await this.opts.clock.sleep(ms);
+    this.isPaused = false;
+    if (this.isRoundPutOff) {
+      this.isRoundPutOff = false;
+      this.schedulePlacement();
+    }
+  }
+
   /** Places waiting tasks again until runs elsewhere have ended. */
   private async placeAfterOtherRuns(): Promise<void> {
     if (!this.isOtherRunCheckDue) {
@@ -233,6 +273,7 @@
           slowness: session.slowness,
           isSuspect: session.health.kind === 'suspect',
           runs: session.runs.size,
+          leaseLimitMs: undefined,
           isExclusive: [...session.runs.values()].some(run =>
             this.opts.crashes.isSuspect(run.taskId),
           ),
@@ -277,6 +318,8 @@
     const isSuspect = this.opts.crashes.isSuspect(task.taskId);
     const usable = candidates.filter(
       ({session, runs, isExclusive}) =>
+        // Tasks without needs would fit on it in any number.
+        !session.isBusy &&
         isAllowed(record, task, session) &&
         (isSuspect ? runs === 0 : !isExclusive),
     );
@@ -285,13 +328,16 @@
       return undefined;
     }
     const {session} = chosen;
+    const leaseLimitMs = chosen.leaseLimitMs ?? session.leaseLimitMs();
     const run = this.parts.openRuns.createRun(
       record,
       task,
       session,
       task.nextRunNumber++,
       false,
+      leaseLimitMs,
     );
+    chosen.leaseLimitMs = Math.min(leaseLimitMs, run.permittedUntilMs);
     task.state = 'placed';
     task.run = run;
     void session.start(run);
--- a/packages/scheduling/src/placement/session_candidate.ts
+++ b/packages/scheduling/src/placement/session_candidate.ts
@@ -10,6 +10,11 @@
   readonly slowness: number;
   readonly isSuspect: boolean;
   runs: number;
+  /**
+   * Monotonic time by which the lease of its runs has to end; undefined until a
+   * task is placed on it.
+   */
+  leaseLimitMs: number | undefined;
   /** Whether it is kept for a task that has to run alone. */
   isExclusive: boolean;
 }
--- a/packages/scheduling/src/run_ends/run_ends.ts
+++ b/packages/scheduling/src/run_ends/run_ends.ts
@@ -70,7 +70,7 @@
     const {progress, jobEnds} = this.parts;
     if (how === 'done') {
       task.state = 'done';
-      progress.unblockSteps(record);
+      progress.unblockAfter(record, task);
       progress.completeIfDone(record);
       return;
     }
--- a/packages/scheduling/src/run_orders/run_orders.ts
+++ b/packages/scheduling/src/run_orders/run_orders.ts
@@ -9,6 +9,14 @@
 
 /** Delay before an order to stop is repeated, in milliseconds. */
 const RETRY_DELAY_MS = 100;
+/**
+ * Number of unanswered orders to start from which a target gets no more of them.
+ * Orders wait for a few connections, and one that isn't sent in time counts against
+ * the target: 10,000 at once ejected all targets.
+ */
+const MAX_UNANSWERED_STARTS = 64;
+/** Number of them from which the target gets orders again. */
+const RESUME_UNANSWERED_STARTS = 32;
 
 /** What the orders of a session need of its other parts. */
 interface OrderParts<R extends RunRecord> {
@@ -26,6 +34,9 @@
  * what became of the run.
  */
 export class RunOrders<R extends RunRecord = RunRecord> {
+  private unansweredStarts = 0;
+  private hasTooManyUnanswered = false;
+
   private constructor(
     private readonly host: TargetSessionHost<R>,
     private readonly parts: OrderParts<R>,
@@ -48,6 +59,11 @@
     return new RunOrders(host, parts);
   }
 
+  /** Whether so many orders to start are unanswered that no more are to be sent. */
+  get hasManyUnanswered(): boolean {
+    return this.hasTooManyUnanswered;
+  }
+
   /**
    * Orders a run to start; its result is reported through the host.
    *
@@ -59,6 +75,7 @@
     holds.wake();
     lease.record(run.leaseEndMs);
     const sent = holds.sendTime;
+    this.recordStartSent();
     const res = await this.host.port.start(incarnation.report, {
       taskId: run.taskId,
       run: run.runNumber,
@@ -66,6 +83,7 @@
       token: this.host.token,
       leaseEndMs: run.leaseEndMs,
     });
+    this.recordStartSettled();
     if (holds.isClosed || !runs.has(run)) {
       return;
     }
@@ -107,6 +125,23 @@
     await this.stopUntilEnded(run);
   }
 
+  private recordStartSent(): void {
+    this.unansweredStarts++;
+    this.hasTooManyUnanswered ||=
+      this.unansweredStarts >= MAX_UNANSWERED_STARTS;
+  }
+
+  private recordStartSettled(): void {
+    this.unansweredStarts--;
+    if (
+      this.hasTooManyUnanswered &&
+      this.unansweredStarts <= RESUME_UNANSWERED_STARTS
+    ) {
+      this.hasTooManyUnanswered = false;
+      this.host.onChange();
+    }
+  }
+
   private handleStartRejection(run: R, reason: OrderRejection): void {
     const {condition, runs, holds, onFenced} = this.parts;
     switch (reason) {
@@ -142,7 +177,7 @@
    * not listed.
    */
   private async resolveUncertainStart(run: R): Promise<void> {
-    await this.parts.holds.hold(false);
+    await this.parts.holds.refreshRuns();
     if (run.state !== 'uncertain' || !this.parts.runs.has(run)) {
       return;
     }
@@ -159,7 +194,7 @@
       if (res.kind === 'accepted') {
         // A run that began before the stop is listed in the answer to this
         // hold, since it is sent after the stop was accepted.
-        const isAnswered = await holds.hold(false);
+        const isAnswered = await holds.refreshRuns();
         const isBarred = isAnswered && restarts === incarnation.restarts;
         if (isBarred && run.confirmedMs === undefined) {
           runs.closeUnstarted(run);
--- a/packages/scheduling/src/scheduler/large_jobs.test.ts
+++ b/packages/scheduling/src/scheduler/large_jobs.test.ts
@@ -68,9 +68,10 @@
 describe('Placement of a large job', () => {
   const NO_NEEDS = {cores: 0, memoryMb: 0, accelerators: 0};
 
+  // Sixteen targets, each of which takes 64 orders before it has answered one.
   it('goes on in the next turn of the event loop after some tasks', async () => {
     const simulation = new TargetSimulation(1);
-    const scheduler = await startScheduler(simulation, 2);
+    const scheduler = await startScheduler(simulation, 16);
     const job = jobOf(1, {
       steps: [{...STEP, count: 1_000, needs: NO_NEEDS}],
       isPromised: true,
--- a/packages/scheduling/src/target_holds/target_holds.ts
+++ b/packages/scheduling/src/target_holds/target_holds.ts
@@ -17,6 +17,21 @@
  * milliseconds. While runs are present, the next hold acknowledges them.
  */
 const IDLE_ACK_DELAY_MS = 200;
+/**
+ * Most holds on their way at once that ask for the state of the runs. Each answer
+ * lists all runs, so the stops of thousands of runs must not ask one by one.
+ */
+const MAX_REFRESHES = 4;
+/**
+ * Number of runs of a target from which the scheduler pauses between its lists.
+ * Each end is answered by a list of all runs.
+ */
+const MANY_RUNS = 1_000;
+/**
+ * Pause for each run of the target, in milliseconds; several times as long as the
+ * scheduler takes for it in a list.
+ */
+const PAUSE_PER_RUN_MS = 0.005;
 
 /** What a session knows of its target, by owner. */
 interface SessionParts<R extends RunRecord> {
@@ -38,6 +53,11 @@
 export class TargetHolds<R extends RunRecord = RunRecord> {
   private readonly sleeper: Sleeper;
   private hasClosed = false;
+  /** Number of holds on their way that ask for the state of the runs. */
+  private refreshes = 0;
+  /** Hold that is sent next; all that ask until then share its answer. */
+  private nextRefresh: Promise<boolean> | undefined;
+  private sendNextRefresh: (() => void) | undefined;
 
   private constructor(
     private readonly host: TargetSessionHost<R>,
@@ -115,6 +135,8 @@
         await this.host.clock.sleep(
           retryDelayMs(contact.consecutiveFailures, runs.byTask.size > 0),
         );
+      } else if (!runs.mayHaveMoreEnds) {
+        await this.pauseForManyRuns();
       }
     }
   }
@@ -218,10 +240,42 @@
   }
 
   /**
-   * Asks for the state of the runs at once, besides a hold that may be waiting.
+   * Asks for the state of the runs, besides a hold that may be waiting: at once, or
+   * after one of several others has been answered.
+   *
+   * @returns Whether the target answered.
    */
-  async refreshRuns(): Promise<void> {
-    await this.hold(false);
+  refreshRuns(): Promise<boolean> {
+    if (!this.nextRefresh && this.refreshes < MAX_REFRESHES) {
+      return this.sendRefresh();
+    }
+    this.nextRefresh ??= this.shareNextRefresh();
+    return this.nextRefresh;
+  }
+
+  private async sendRefresh(): Promise<boolean> {
+    this.refreshes++;
+    try {
+      return await this.hold(false);
+    } finally {
+      this.refreshes--;
+      this.sendNextRefresh?.();
+    }
+  }
+
+  private async shareNextRefresh(): Promise<boolean> {
+    await new Promise<void>(resolve => (this.sendNextRefresh = resolve));
+    this.sendNextRefresh = undefined;
+    await this.pauseForManyRuns();
+    this.nextRefresh = undefined;
+    return this.hasClosed || this.sendRefresh();
+  }
+
+  private async pauseForManyRuns(): Promise<void> {
+    const {size} = this.parts.runs.byTask;
+    if (size >= MANY_RUNS) {
+      await this.host.clock.sleep(size * PAUSE_PER_RUN_MS);
+    }
   }
 
   /**
--- a/packages/scheduling/src/target_lease/target_lease.ts
+++ b/packages/scheduling/src/target_lease/target_lease.ts
@@ -100,13 +100,11 @@
    * End of a lease that is granted now, on the target's clock, in milliseconds. A
    * lease is that of all runs on the target.
    *
-   * @param permittedUntilMs - Monotonic time by which it has to end besides, for a
-   *   run that isn't on the target yet.
+   * @param limitMs - Monotonic time by which it has to end.
    */
-  newEndMs(permittedUntilMs = Infinity): number {
+  newEndMs(limitMs = this.limitMs()): number {
     const leaseEndMs =
       this.clock.at(this.host.clock.now()) + this.host.timing.maxLeaseMs;
-    const limitMs = Math.min(permittedUntilMs, this.limitMs());
     return limitMs === Infinity
       ? leaseEndMs
       : Math.min(leaseEndMs, this.clock.at(limitMs));
@@ -182,12 +180,21 @@
       clock.now() + timing.maxLeaseMs / (1 - MAX_CLOCK_DRIFT);
   }
 
-  /** Monotonic time by which the lease of the runs has to end. */
-  private limitMs(): number {
+  /**
+   * Monotonic time by which the lease of the runs has to end, in milliseconds;
+   * infinite if nothing limits it.
+   */
+  limitMs(): number {
     let limitMs = Infinity;
+    // Most of the runs are of few jobs, those of each in a row.
+    let jobId: JobId | undefined;
+    let endMs = 0;
     for (const run of this.runs.values()) {
       if (run.abandonedMs === undefined) {
-        const endMs = this.host.permissionEndMs(run.job.id);
+        if (run.job.id !== jobId) {
+          jobId = run.job.id;
+          endMs = this.host.permissionEndMs(jobId);
+        }
         run.permittedUntilMs = Math.max(run.permittedUntilMs, endMs);
       }
       limitMs = Math.min(limitMs, run.permittedUntilMs);
--- a/packages/scheduling/src/target_runs/target_runs.ts
+++ b/packages/scheduling/src/target_runs/target_runs.ts
@@ -24,10 +24,13 @@
  */
 export class TargetRuns<R extends RunRecord = RunRecord> {
   private readonly ordered = new Map<TaskId, R>();
+  /** Capacity that the runs leave free of a capacity, until a run has ended. */
+  private free: {readonly of: Resources; resources: Resources} | undefined;
   /** Runs on the target that this scheduler did not order, and their ends. */
   private readonly orphans = UnclaimedRuns.create();
   /** Whether a start was rejected for lack of capacity since the last hold. */
-  private isFull = false;
+  private isTargetFull = false;
+  private isListCut = false;
   private lastSeen = 0;
   /** Number of the last end that was acknowledged to the target. */
   private lastAcknowledged = 0;
@@ -66,6 +69,16 @@
     return this.orphans.size > 0;
   }
 
+  /** Whether a start was rejected for lack of capacity since the last hold. */
+  get isFull(): boolean {
+    return this.isTargetFull;
+  }
+
+  /** Whether the target may have more ends than the last list of it contains. */
+  get mayHaveMoreEnds(): boolean {
+    return this.isListCut;
+  }
+
   /** Number of the last end that was processed. */
   get lastSeenEnd(): number {
     return this.lastSeen;
@@ -83,6 +96,12 @@
 
   /** Adds a run that is ordered, or taken over from an earlier scheduler. */
   add(run: R): void {
+    if (this.ordered.has(run.taskId)) {
+      this.free = undefined;
+    } else if (this.free) {
+      const {resources} = this.free;
+      this.free.resources = addResources(resources, run.needs, -1);
+    }
     this.ordered.set(run.taskId, run);
   }
 
@@ -98,7 +117,7 @@
 
   /** Records whether a start was rejected for lack of capacity. */
   setFull(isFull: boolean): void {
-    this.isFull = isFull;
+    this.isTargetFull = isFull;
   }
 
   /**
@@ -107,14 +126,17 @@
    */
   freeResources(): Resources {
     const {capacity} = this.incarnation.report;
-    if (this.isFull) {
+    if (this.isTargetFull) {
       return {cores: 0, memoryMb: 0, accelerators: 0};
     }
-    let free = capacity;
-    for (const {needs} of this.ordered.values()) {
-      free = addResources(free, needs, -1);
+    if (this.free?.of !== capacity) {
+      let resources = capacity;
+      for (const {needs} of this.ordered.values()) {
+        resources = addResources(resources, needs, -1);
+      }
+      this.free = {of: capacity, resources};
     }
-    return free;
+    return this.free.resources;
   }
 
   /**
@@ -157,7 +179,7 @@
    *   that may be on the new one.
    */
   restart(): {readonly lost: readonly R[]; readonly unlisted: readonly R[]} {
-    this.isFull = false;
+    this.isTargetFull = false;
     this.lastSeen = 0;
     this.lastAcknowledged = 0;
     this.orphans.clear();
@@ -177,13 +199,17 @@
    * @param sentMs - Monotonic time at which it was asked for, in milliseconds.
    */
   update(res: Extract<HoldResult, {kind: 'held'}>, sentMs: number): void {
+    this.isListCut = res.ended.length >= MAX_LISTED_ENDS;
     for (const end of res.ended) {
       if (end.number > this.lastSeen) {
         this.lastSeen = end.number;
         this.handleEnd(end);
       }
     }
-    const present = new Map(res.running.map(r => [r.taskId, r.run]));
+    const present = new Map<TaskId, number>();
+    for (const {taskId, run} of res.running) {
+      present.set(taskId, run);
+    }
     for (const run of [...this.ordered.values()]) {
       if (present.get(run.taskId) === run.runNumber) {
         this.confirm(run);
@@ -192,7 +218,7 @@
       } else if (
         run.confirmedMs !== undefined &&
         run.confirmedMs < sentMs &&
-        res.ended.length < MAX_LISTED_ENDS
+        !this.isListCut
       ) {
         this.close(run, run.mayBeLost ? 'targetCrashed' : 'lapsed');
       }
@@ -211,7 +237,7 @@
   /** Removes a run that has ended or can no longer exist. */
   close(run: R, how: RunEnd): void {
     if (this.has(run)) {
-      this.ordered.delete(run.taskId);
+      this.delete(run);
       this.host.onRunEnded(run, how);
     }
   }
@@ -219,7 +245,7 @@
   /** Removes a run whose order to start was certainly not carried out. */
   discard(run: R, reason: string): void {
     if (this.has(run)) {
-      this.ordered.delete(run.taskId);
+      this.delete(run);
       this.host.onRunNotStarted(run, reason);
     }
   }
@@ -262,6 +288,11 @@
     }
   }
 
+  private delete(run: R): void {
+    this.ordered.delete(run.taskId);
+    this.free = undefined;
+  }
+
   private handleEnd(end: EndReport): void {
     const run = this.ordered.get(end.taskId);
     const wasOrphan = this.orphans.delete(end.taskId);
