--- a/packages/daemon/src/http/http_app.ts
+++ b/packages/daemon/src/http/http_app.ts
@@ -92,6 +92,7 @@
   private readonly turn: ReadingTurn;
   private readonly checkTimer: NodeJS.Timeout;
   private isClosing = false;
+  private listenedPort = 0;
 
   private constructor(
     private readonly opts: HttpAppOptions,
@@ -142,11 +143,13 @@
       server.once('error', reject);
       server.listen(listen.port, listen.host, LISTEN_BACKLOG, resolve);
     });
+    app.listenedPort = (server.address() as AddressInfo).port;
     return app;
   }
 
+  /** Port on which it listens, or did until it was closed. */
   get port(): number {
-    return (this.server.address() as AddressInfo).port;
+    return this.listenedPort;
   }
 
   /**
