--- a/packages/daemon/src/http/http_app.ts
+++ b/packages/daemon/src/http/http_app.ts
@@ -5,6 +5,7 @@
 import type {EventLog, Refusal} from '@papayarun/protocol';
 import {DispatchError, refusalFromError} from '@papayarun/protocol';
 import {afterReading} from '../loop_lag/after_reading.js';
+import {HTTP_LIMITS} from './http_limits.js';
 import type {HttpResponse} from './http_response.js';
 import type {HttpRoute} from './http_route.js';
 import {matchPath} from './match_path.js';
@@ -12,9 +13,7 @@
 import {refusalResponse} from './refusal_response.js';
 
 const MAX_HEADER_BYTES = 16 * 1024;
-const HEADERS_TIMEOUT_MS = 10_000;
 const REQUEST_TIMEOUT_MS = 60_000;
-const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 /** Maximum number of connections that wait to be accepted. */
 const LISTEN_BACKLOG = 511;
 /**
@@ -69,9 +68,9 @@
   ): Promise<HttpApp> {
     const server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
-      headersTimeout: HEADERS_TIMEOUT_MS,
+      headersTimeout: HTTP_LIMITS.headersTimeoutMs,
       requestTimeout: REQUEST_TIMEOUT_MS,
-      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      keepAliveTimeout: HTTP_LIMITS.keepAliveTimeoutMs,
     });
     server.maxConnections = opts.maxConnections;
     const app = new HttpApp(opts, server);
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -5,6 +5,7 @@
 export * from './event_logger/event_logger.js';
 export * from './http/finish_requests.js';
 export * from './http/http_app.js';
+export * from './http/http_limits.js';
 export * from './http/http_request.js';
 export * from './http/http_response.js';
 export * from './http/http_route.js';
