--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,4 +1,7 @@
 export * from './bounded_output/bounded_output.js';
+export * from './check_configuration/check_configuration.js';
+export * from './check_configuration/checked_configuration.js';
+export * from './check_configuration/configuration_finding.js';
 export * from './cluster_node/node_settings.js';
 export * from './entry_instance/entry_instance.js';
 export * from './entry_instance/entry_instance_options.js';
