--- a/packages/daemon/src/check_configuration/find_differences.test.ts
+++ b/packages/daemon/src/check_configuration/find_differences.test.ts
@@ -66,6 +66,14 @@
     ]);
   });
 
+  // Requests are matched without regard to the case of the host.
+  it('treats a host in another case as a changed field, not as another queue', () => {
+    const queues = [queue('/x/', {host: 'A.example'}), queue('/y/')];
+    expect(differences({queues})).toEqual([
+      'change queues.0.host: changed from "a.example" to "A.example"',
+    ]);
+  });
+
   it('names changed services, limits, revision and other fields', () => {
     expect(
       differences({
