--- a/packages/daemon/src/http/http_app.ts
+++ b/packages/daemon/src/http/http_app.ts
@@ -13,6 +13,7 @@
 import type {Transfer} from '../transfer_budget/transfer.js';
 import type {TransferEnd} from '../transfer_budget/transfer_end.js';
 import type {HttpLimits} from './http_limits.js';
+import {HTTP_TIMEOUTS} from './http_timeouts.js';
 import type {HttpResponse} from './http_response.js';
 import type {HttpRoute} from './http_route.js';
 import {matchPath} from './match_path.js';
@@ -23,9 +24,7 @@
 import {refusalResponse} from './refusal_response.js';
 
 const MAX_HEADER_BYTES = 16 * 1024;
-const HEADERS_TIMEOUT_MS = 10_000;
 const REQUEST_TIMEOUT_MS = 60_000;
-const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 /** Interval of the checks for transfers and headers that are too slow, in milliseconds. */
 const CHECK_MS = 1_000;
 /** Requests in progress on one connection; ordinary clients have one. */
@@ -122,9 +121,9 @@
   ): Promise<HttpApp> {
     const server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
-      headersTimeout: HEADERS_TIMEOUT_MS,
+      headersTimeout: HTTP_TIMEOUTS.headersMs,
       requestTimeout: REQUEST_TIMEOUT_MS,
-      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      keepAliveTimeout: HTTP_TIMEOUTS.keepAliveMs,
       connectionsCheckingInterval: CHECK_MS,
     });
     server.maxConnections = opts.maxConnections;
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,4 +1,7 @@
 export * from './bounded_output/bounded_output.js';
+export * from './check_configuration/check_configuration.js';
+export * from './check_configuration/checked_configuration.js';
+export * from './check_configuration/configuration_finding.js';
 export * from './cluster_node/node_settings.js';
 export * from './entry_instance/entry_instance.js';
 export * from './entry_instance/entry_instance_options.js';
@@ -7,6 +10,7 @@
 export * from './http/finish_requests.js';
 export * from './http/http_app.js';
 export * from './http/http_limits.js';
+export * from './http/http_timeouts.js';
 export * from './http/http_request.js';
 export * from './http/http_response.js';
 export * from './http/http_route.js';
