Count late jobs as ahead of a new one again

Jobs that yield to the new one are still left out, so that small jobs are served beside a large one.

--- a/packages/scheduling/src/waiting_jobs/waiting_jobs.ts
+++ b/packages/scheduling/src/waiting_jobs/waiting_jobs.ts
@@ -63,7 +63,11 @@
   }
 
   /**
-   * Expected run times of the waiting tasks that get slots before a new job.
+   * Expected run times of the waiting tasks that may get slots before a new job.
+   *
+   * @description Late jobs count too, though the new one overtakes them: some of them
+   * turn out to be in time, and without them more jobs were admitted under overload than
+   * could be served.
    *
    * @param record - The new job.
    * @param nowMs - Monotonic time in milliseconds.
@@ -73,7 +77,7 @@
     const aheadMs: number[] = [];
     for (const other of this.records) {
       updateYieldTimes(other);
-      if (compareWaitingJobs(other, record, nowMs) < 0) {
+      if (mayGoFirst(other, record, nowMs)) {
         for (const task of other.tasks) {
           if (task.state === 'waiting') {
             aheadMs.push(other.expectedMs[task.stepIndex]!);
@@ -98,3 +102,17 @@
     return undefined;
   }
 }
+
+/** Whether a waiting job may get slots before a new one. */
+function mayGoFirst(
+  other: JobRecord,
+  record: JobRecord,
+  nowMs: number,
+): boolean {
+  const yields = other.yieldsUntilMs > nowMs && record.yieldsUntilMs <= nowMs;
+  return (
+    other !== record &&
+    (other.job.priority < record.job.priority ||
+      (other.job.priority === record.job.priority && !yields))
+  );
+}
