--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -1,93 +1,66 @@
 /* global process */
-// Large jobs come at once: each request is inside the limits of the configuration.
-// Two of the six entry instances get such a burst until each has ended three times.
+// Another writer sends heartbeats in which one field is of another type: `labels`
+// is a list of numbers. Each goes to one state instance, and the next one to the
+// next, as its writer gets no acknowledgement.
 import {join} from 'node:path';
 import {Judge} from '../stand_ins_3/judge.mjs';
-import {newId, runJob} from '../stand_ins_3/client.mjs';
-import {
-  finishCase,
-  HOST,
-  LIMITS,
-  startDeployment,
-} from '../stand_ins_3/deployment.mjs';
-import {sleep} from '../stand_ins_3/system.mjs';
+import {finishCase, startDeployment} from '../stand_ins_3/deployment.mjs';
+import {send, sleep} from '../stand_ins_3/system.mjs';
 
 const IS_TROUBLE = process.env.TROUBLE !== '0';
-const JOBS_AT_ONCE = 100;
-const STEPS = IS_TROUBLE ? 9990 : 8;
-const ROUNDS = IS_TROUBLE ? 6 : 3;
+const LABELS = IS_TROUBLE ? 1500000 : 3;
+const MAX_BYTES = 4 * 1024 * 1024;
+const HEARTBEATS = 12;
 const TIMES = 3;
-const PREFIX = '/large/';
-const ROUTE = {name: 'large', pathPrefix: PREFIX};
+// The core is stable again before the next heartbeat, with contactMs to spare.
+const PAUSE_MS = 5000;
+const ROUTE = {name: 'jobs', pathPrefix: '/jobs/'};
 
 const judge = new Judge(join(import.meta.dirname, 'record.txt'));
-const {sys} = await startDeployment(judge, [ROUTE]);
-const steps = Array.from({length: STEPS}, () => ({count: 1, cpu: 100}));
-const bodyBytes = JSON.stringify({
-  spec: 'regroup',
-  steps,
-  bestEffort: true,
-}).length;
-judge.log('bodies', {
-  bytes: bodyBytes,
-  limit: LIMITS.maxBodyBytes,
-  jobsAtOnce: JOBS_AT_ONCE,
+const {sys, runners} = await startDeployment(judge, [ROUTE]);
+const body = JSON.stringify({
+  ...runners[0].report(),
+  address: '127.0.0.9:9',
+  labels: 0,
+}).replace('"labels":0', `"labels":[${'1,'.repeat(LABELS - 1)}1]`);
+judge.log('heartbeat', {
+  bytes: body.length,
+  labels: LABELS,
+  start: body.slice(0, 250),
 });
-if (bodyBytes > LIMITS.maxBodyBytes) {
+if (body.length > MAX_BYTES) {
   await sys.stop();
   process.exit(2);
 }
-const hit = sys
-  .entries()
-  .filter((_, n) => n % 2 === 0)
-  .slice(0, 2);
 const ownEnds = m => m.exits.filter(e => !e.wasExpected).length;
-for (
-  let round = 0;
-  round < ROUNDS && hit.some(m => ownEnds(m) < TIMES);
-  round++
-) {
-  await Promise.all(
-    hit.map(entry =>
-      Promise.all(
-        Array.from({length: JOBS_AT_ONCE}, () =>
-          runJob(
-            {
-              id: newId(),
-              spec: 'regroup',
-              steps,
-              route: ROUTE.name,
-              workMs: 20,
-            },
-            {
-              pick: () => entry,
-              host: HOST,
-              prefix: PREFIX,
-              judge,
-              deadlineMs: 6000,
-              maxAttempts: 1,
-            },
-          ),
-        ),
-      ),
-    ),
-  );
-  await sleep(1500);
-  if (!(await sys.waitReady(10000))) {
-    judge.log('notReadyAgain', {round});
+const isBroken = () =>
+  sys.states().filter(m => ownEnds(m) >= TIMES).length * 2 >=
+  sys.states().length;
+for (let n = 0; n < HEARTBEATS && !isBroken(); n++) {
+  const m = sys.states()[n % sys.states().length];
+  const res = await send('PUT', m.control, '/v1/instances/i-other', {
+    body,
+    timeoutMs: 1000,
+  });
+  judge.log('heartbeatAnswer', {
+    n,
+    at: m.name,
+    status: res.status,
+    error: res.error,
+    field: res.json?.field,
+  });
+  if (res.status >= 200 && res.status < 300) {
+    judge.log('acknowledged', {n});
   }
-  // The machines have been in touch again before the next burst.
-  await sleep(3500);
+  await sleep(PAUSE_MS);
 }
-const ended = sys.machines
-  .map(m => ({machine: m.name, byItself: m.exits.filter(e => !e.wasExpected)}))
-  .filter(m => m.byItself.length > 0);
+const ended = sys
+  .states()
+  .map(m => ({machine: m.name, byItself: m.exits.filter(e => !e.wasExpected)}));
 judge.log('endedByThemselves', ended);
-const atLeast = Math.max(2, Math.ceil(sys.machines.length / 10));
-const often = ended.filter(m => m.byItself.length >= TIMES);
-if (often.length >= atLeast) {
+if (isBroken()) {
   judge.breaks('Fault', {
-    machines: often.map(m => ({
+    machines: ended.map(m => ({
       machine: m.machine,
       times: m.byItself.length,
       how: m.byItself[0],
